--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+MODULES := lib sardined sardinectl sardineload standin proofs
+PROGRAMS := sardined sardinectl sardineload standin
+LINT := bin/golangci-lint
+LINT_VERSION := v2.15.0
+export CGO_ENABLED := 1
+
+.PHONY: all build demo test lint unit model proofs bench bench-quick slopes clean FORCE
+.DELETE_ON_ERROR:
+
+all: build
+
+build: $(PROGRAMS:%=bin/%)
+
+# The Go tool decides what is out of date.
+$(PROGRAMS:%=bin/%): bin/%: FORCE
+	cd $* && go build -o ../bin/$* .
+
+$(LINT):
+	GOWORK=off GOBIN=$(CURDIR)/bin go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+lint: $(LINT)
+	@out=$$(gofmt -l $(MODULES)); if [ -n "$$out" ]; then echo "gofmt would change: $$out"; exit 1; fi
+	@for m in $(MODULES); do echo "lint $$m"; (cd $$m && ../$(LINT) run --config ../.golangci.yml ./...) || exit 1; done
+
+unit:
+	@for m in $(filter-out proofs,$(MODULES)); do (cd $$m && go test -race ./...) || exit 1; done
+
+proofs: build
+	cd proofs && go test -count=1 -timeout 15m ./...
+
+model:
+	spec/check
+
+test: lint unit model proofs
+
+demo: build
+	demo/run
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/sardinectl/main.go
@@ -0,0 +1,4 @@
+// Command sardinectl is a program of sardinecross.
+package main
+
+func main() {}
--- /dev/null
+++ b/sardined/main.go
@@ -0,0 +1,4 @@
+// Command sardined is a program of sardinecross.
+package main
+
+func main() {}
--- /dev/null
+++ b/sardineload/main.go
@@ -0,0 +1,4 @@
+// Command sardineload is a program of sardinecross.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is a program of sardinecross.
+package main
+
+func main() {}
