--- a/lib/core/event.go
+++ b/lib/core/event.go
@@ -37,7 +37,7 @@
 // RequestCancelled reports that the caller closed its connection.
 type RequestCancelled struct{ ID ident.RequestID }
 
-// IDWanted reports that a caller asked for a request ID; the reducer answers with IDIssued or IDRefused.
+// IDWanted reports that a caller asked for a request ID; the reducer answers with IDIssued or Refuse.
 type IDWanted struct {
 	ID    ident.RequestID
 	Class ident.ClassName
