--- /dev/null
+++ b/lib/config/daemon.go
@@ -0,0 +1,100 @@
+package config
+
+import (
+	"net/netip"
+	"time"
+
+	"sardinecross.example/lib/common/ident"
+)
+
+// Daemon is the settings of sardined.
+type Daemon struct {
+	Host     Host     `config:"host,required"`
+	Listen   Listen   `config:"listen,required"`
+	Platform Platform `config:"platform,required"`
+	TLS      TLS      `config:"tls,required"`
+	// DataCentres are all of the site, in the order of preference after the own one.
+	DataCentres []ident.DataCentre            `config:"dataCentres,required" range:"1..64" unique:"."`
+	Services    map[ident.ServiceName]Service `config:"services,required" range:"1..256"`
+	Logging     Logging                       `config:"logging"`
+	Limits      Limits                        `config:"limits"`
+	Timing      Timing                        `config:"timing"`
+	Runtime     Runtime                       `config:"runtime"`
+}
+
+// Host says which host this is.
+type Host struct {
+	ID         ident.HostID     `config:"id,required"`
+	Site       string           `config:"site,required"`
+	DataCentre ident.DataCentre `config:"dataCentre,required"`
+}
+
+// Listen holds the addresses of the listeners.
+type Listen struct {
+	Callers netip.AddrPort `config:"callers,required"`
+	Peers   netip.AddrPort `config:"peers,required"`
+	Admin   netip.AddrPort `config:"admin,required"`
+}
+
+// Platform holds the addresses of the platform's services.
+type Platform struct {
+	Log      netip.AddrPort `config:"log,required"`
+	HostList netip.AddrPort `config:"hostList,required"`
+}
+
+// TLS names the files of the links between hosts.
+type TLS struct {
+	CA string `config:"ca,required"`
+	// Identity holds the certificate and the key.
+	Identity string `config:"identity,required"`
+}
+
+// Service holds the facts about the upstreams of one service.
+type Service struct {
+	Slots int `config:"slots,required" range:"1..1024"`
+	// ColdSlots is at most Slots.
+	ColdSlots      int           `config:"coldSlots" range:"1..1024"`
+	Connections    int           `config:"connections" range:"1..65536"`
+	ProbeCost      time.Duration `config:"probeCost" range:"0s..10s"`
+	ConnectionCost time.Duration `config:"connectionCost" range:"0s..10s"`
+	// MeasuringShare is the part of an upstream's time that probes and new connections may take.
+	MeasuringShare float64 `config:"measuringShare" range:"0.0001..0.5"`
+}
+
+// Logging configures the log.
+type Logging struct {
+	Level  string `config:"level" oneof:"debug info warn error"`
+	Format string `config:"format" oneof:"text json"`
+}
+
+// Limits bound what callers may use.
+type Limits struct {
+	HeaderBytes          int `config:"headerBytes" range:"1024..1048576"`
+	BodyBytes            int `config:"bodyBytes" range:"1024..1073741824"`
+	ConnectionsPerCaller int `config:"connectionsPerCaller" range:"1..65536"`
+	StoredAnswerBytes    int `config:"storedAnswerBytes" range:"0..16777216"`
+	RequestIDs           int `config:"requestIds" range:"1..10000000"`
+}
+
+// Timing holds the protocol's times; Lease and Pledge are longer than Heartbeat.
+type Timing struct {
+	Heartbeat         time.Duration `config:"heartbeat" range:"10ms..10s"`
+	Lease             time.Duration `config:"lease" range:"50ms..60s"`
+	Pledge            time.Duration `config:"pledge" range:"50ms..60s"`
+	AddressLifetime   time.Duration `config:"addressLifetime" range:"100ms..60s"`
+	RequestIDLifetime time.Duration `config:"requestIdLifetime" range:"1s..1h"`
+}
+
+// Runtime configures the Go runtime.
+type Runtime struct {
+	GCPercent        int   `config:"gcPercent" range:"10..10000"`
+	MemoryLimitBytes int64 `config:"memoryLimitBytes" range:"16777216.."`
+	Processors       int   `config:"processors" range:"1..1024"`
+}
+
+// LoadDaemon reads the settings of sardined.
+func LoadDaemon(file string) (Daemon, error) {
+	var d Daemon
+	err := Load(file, &d)
+	return d, err
+}
