conf: Decide the configuration from log order

Cause: every host must reach the same configuration from the log alone, whatever it missed, and never go back. Ruled out: one version for the whole configuration (operators of different classes would conflict), timestamps in records (clocks of proposers decide).

--- a/lib/conf/view.go
+++ b/lib/conf/view.go
@@ -1,29 +1,89 @@
 package conf
 
-import "sardinecross.example/lib/common/ident"
+import (
+	"cmp"
+	"slices"
 
-// View is one immutable version of the configuration; the zero value is empty.
+	"sardinecross.example/lib/common/ident"
+	"sardinecross.example/lib/common/sets"
+)
+
+// View is one immutable version of the configuration. The zero value is not valid; an empty view comes from NewStore.
 type View struct {
 	version int64
+	items   map[Item]entry
+	// The following are derived from items.
+	classes     map[ident.ClassName]Class
+	names       []ident.ClassName
+	dataCentres sets.Set[ident.DataCentre]
+	upstreams   sets.Set[ident.UpstreamID]
+}
+
+// entry is an item's value and the offset of the proposal that set it.
+type entry struct {
+	value   Value
+	version int64
+}
+
+func newView(version int64, items map[Item]entry) View {
+	v := View{
+		version:     version,
+		items:       items,
+		classes:     make(map[ident.ClassName]Class),
+		dataCentres: make(sets.Set[ident.DataCentre]),
+		upstreams:   make(sets.Set[ident.UpstreamID]),
+	}
+	for item, e := range items {
+		switch {
+		case item.Kind == KindClass:
+			v.classes[ident.ClassName(item.Name)] = e.value.Class
+			v.names = append(v.names, ident.ClassName(item.Name))
+		case item.Kind == KindDataCentre && e.value.Out:
+			v.dataCentres[ident.DataCentre(item.Name)] = struct{}{}
+		case item.Kind == KindUpstream && e.value.Out:
+			v.upstreams[ident.UpstreamID(item.Name)] = struct{}{}
+		}
+	}
+	slices.Sort(v.names)
+	return v
 }
 
 // Version returns the offset of the last record that was decided, NoVersion if none was.
 func (v View) Version() int64 { return v.version }
 
 // Class returns the definition of a class.
-func (v View) Class(name ident.ClassName) (Class, bool) { return Class{}, false }
+func (v View) Class(name ident.ClassName) (Class, bool) {
+	c, ok := v.classes[name]
+	return c, ok
+}
 
 // Classes returns the names of all classes in alphabetical order; the result must not be modified.
-func (v View) Classes() []ident.ClassName { return nil }
+func (v View) Classes() []ident.ClassName { return v.names }
 
 // DataCentreOut reports whether operators took the data centre out of service.
-func (v View) DataCentreOut(name ident.DataCentre) bool { return false }
+func (v View) DataCentreOut(name ident.DataCentre) bool { return v.dataCentres.Has(name) }
 
 // UpstreamOut reports whether operators took the upstream out of service.
-func (v View) UpstreamOut(id ident.UpstreamID) bool { return false }
+func (v View) UpstreamOut(id ident.UpstreamID) bool { return v.upstreams.Has(id) }
 
 // Item returns an item's value and version, NoVersion if there is none.
-func (v View) Item(item Item) (Value, int64) { return Value{}, NoVersion }
+func (v View) Item(item Item) (Value, int64) {
+	if e, ok := v.items[item]; ok {
+		return e.value, e.version
+	}
+	return Value{}, NoVersion
+}
 
-// Items returns all items in alphabetical order of their text forms.
-func (v View) Items() []Item { return nil }
+// Items returns all items, ordered by kind and name.
+func (v View) Items() []Item { return sortedItems(v.items) }
+
+func sortedItems(items map[Item]entry) []Item {
+	list := make([]Item, 0, len(items))
+	for item := range items {
+		list = append(list, item)
+	}
+	slices.SortFunc(list, func(a, b Item) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	return list
+}
