conf: Refuse checkpoints that repeat a decision

Cause: a checkpoint with one proposal ID twice was accepted, but its re-encoding was refused by other hosts. Change: a repeated ID makes the checkpoint invalid.

--- a/lib/conf/checkpoint.go
+++ b/lib/conf/checkpoint.go
@@ -53,7 +53,12 @@
 		return &RecordError{Problem: "too many decisions"}
 	}
 	last := NoVersion
+	ids := make(map[string]bool, len(list))
 	for _, d := range list {
+		if ids[d.ID] {
+			return &RecordError{Problem: "repeated decision"}
+		}
+		ids[d.ID] = true
 		if checkName("proposalId", d.ID) != nil || d.Version <= last || d.Version > c.version ||
 			d.Current < NoVersion || d.Current > d.Version || Result(d.Result) < Accepted || Result(d.Result) > Full {
 			return &RecordError{Problem: "bad decision"}
