--- a/lib/member/message.go
+++ b/lib/member/message.go
@@ -1,4 +1,4 @@
-// Package member holds the messages and state of this protocol part.
+// Package member is one host's view of all hosts: host list, heartbeats, incarnations.
 package member
 
 import (
@@ -10,8 +10,10 @@
 // Heartbeat is sent to every other host at a fixed interval.
 type Heartbeat struct {
 	Seq uint64
-	// Echo is the highest sequence number received from the addressee in its current incarnation.
-	Echo       uint64
+	// Echo is the highest sequence number received from the addressee in the incarnation To, zero if there was none.
+	Echo uint64
+	// To is the addressee's incarnation as the sender knows it. Echo and Pledges mean nothing to any other incarnation.
+	To         ident.Incarnation
 	DataCentre ident.DataCentre
 	Leaving    bool
 	// ConfVersion is the offset of the last record that the sender has decided.
@@ -27,6 +29,10 @@
 // Pledge is the acceptance of the addressee as the owner of an upstream.
 type Pledge struct {
 	Upstream ident.UpstreamID
-	// Previous is the incarnation of the owner pledged to before, zero if there was none.
+	// Previous is the incarnation of the owner whose handoff freed the pledge; zero if the pledge moved by expiry.
 	Previous ident.Incarnation
+	// Handoff is the number of that handoff.
+	Handoff uint64
+	// Wait is the time, from the sending of the heartbeat, for which work granted by earlier owners may still run.
+	Wait time.Duration
 }
