core: Route requests, streams and messages through one step

A request passes admission, the queue of its class, the choice of an upstream and a leased slot to its attempt, and ends with exactly one answer. The reducer polls the host list and both streams, sends heartbeats, and passes the messages of the leases on.

AttemptEnded has a new field Refused, because a refused connection is a sign of a cold upstream and a missed StartBy is not. Settings.Address is the own listener until the host list has it.

--- a/lib/core/core.go
+++ b/lib/core/core.go
@@ -5,42 +5,211 @@
 	"time"
 
 	"sardinecross.example/lib/common/ident"
+	"sardinecross.example/lib/conf"
+	"sardinecross.example/lib/lease"
+	"sardinecross.example/lib/member"
+	"sardinecross.example/lib/order"
+	"sardinecross.example/lib/policy"
 )
 
 // State is all state of one host incarnation. It is not safe for concurrent use.
 type State struct {
-	cfg     Settings
-	now     time.Duration
+	cfg Settings
+	// now is the time of the current step; it never decreases.
+	now time.Duration
+	// seed yields the random numbers of the current step.
+	seed    uint64
 	effects []Effect
+
+	table *member.Table
+	slots *lease.State
+	conf  *conf.Store
+	book  *order.Book
+
+	topo     topology
+	requests map[ident.RequestID]*request
+	timers   timers
+	streams  streams
+	service  serviceState
+	leaving  leaving
+	counters Counters
+	notices  noticeLimit
+	// peers are those of the last Peers effect, computed for the revision peersAt of the table.
+	peers   []PeerAddress
+	peersAt uint64
+	// ownersAt is the revision for which the owners were compared.
+	ownersAt uint64
+	// judgeAt and probeAt are the times of the next look at stragglers and probes.
+	judgeAt, probeAt time.Duration
+	// asked is the time of the last ConfRequest.
+	asked time.Duration
+	// turn rotates the hosts of one data centre in the answers of Addresses.
+	turn int
+	// blocked, fresh and tried are scratch space of one dispatch.
+	blocked      map[*policy.Class]bool
+	fresh, tried []policy.Candidate
+	// guards switches off rules in tests, to show that the tests detect their absence.
+	guards guards
+}
+
+// guards names the rules that a test can switch off.
+type guards struct{ noRetryRule, noRunRule, noFreshRule, noOutRule, noTellOnce bool }
+
+// leaving is the progress of a graceful shutdown.
+type leaving struct {
+	begun bool
+	// until is the time up to which callers may still arrive with an address they were given earlier.
+	until   time.Duration
+	stopped bool
 }
 
 // New returns the state of a host that has just started; the runner delivers Tick first.
 func New(cfg Settings) *State {
 	cfg.Timing = cfg.Timing.withDefaults()
 	cfg.Limits = cfg.Limits.withDefaults()
-	return &State{cfg: cfg}
+	table := member.New(0, member.Settings{
+		Host: cfg.Host, Incarnation: cfg.Incarnation, DataCentre: cfg.DataCentre, Interval: cfg.Timing.Heartbeat,
+	})
+	s := &State{
+		cfg:   cfg,
+		table: table,
+		slots: lease.New(0, lease.Settings{
+			Host: cfg.Host, Incarnation: cfg.Incarnation, DataCentre: cfg.DataCentre,
+			Lease: cfg.Timing.Lease, Pledge: cfg.Timing.Pledge,
+		}, table),
+		conf: conf.NewStore(),
+		book: order.NewBook(cfg.Incarnation, order.Limits{
+			IDs: cfg.Limits.RequestIDs, IDLifetime: cfg.Timing.RequestIDLifetime,
+			KeyLifetime: cfg.Timing.Retention / 2, AnswerBytes: cfg.Limits.StoredAnswerBytes,
+		}),
+		requests: map[ident.RequestID]*request{},
+		notices:  noticeLimit{},
+		blocked:  map[*policy.Class]bool{},
+		asked:    -confInterval,
+	}
+	s.counters.Refused = map[Reason]uint64{}
+	s.topo.init(cfg)
+	return s
 }
 
-// Step applies one event at a time and returns its effects in the order in which they take effect.
-// The times of successive steps never decrease. The slice is valid until the next Step.
-func (s *State) Step(now time.Duration, _ uint64, ev Event) []Effect {
-	s.now = now
+// Step applies one event and returns its effects in the order in which they take effect. The random number must be
+// unpredictable to callers, because request IDs are derived from it. The slice is valid until the next Step.
+func (s *State) Step(now time.Duration, rnd uint64, ev Event) []Effect {
+	s.now = max(s.now, now)
+	s.seed = rnd
 	s.effects = s.effects[:0]
-	if ev, ok := ev.(RequestArrived); ok {
-		s.effects = append(s.effects, Refuse{ID: ev.ID, Reason: ReasonUnknownClass, Run: RunNo})
-	}
+	s.passTime()
+	s.route(ev)
+	s.conclude()
 	return s.effects
 }
 
+// passTime applies every timeout before the event is looked at, so that a host that was stopped meanwhile
+// decides on its event with expired leases and an old configuration.
+func (s *State) passTime() {
+	s.slots.Advance(s.now)
+	s.apply(s.book.Expire(s.now))
+	s.fireTimers()
+	s.pollPlatform()
+	s.sendHeartbeats()
+	s.judgeStragglers()
+	s.sendProbes()
+}
+
+// conclude starts the work that the event made possible and sends what the sub-states have to say.
+func (s *State) conclude() {
+	s.markReady()
+	s.dispatchDirty()
+	s.flushClaims()
+	s.flushSlots()
+	// A grant from this host to itself can free slots for requests that wait.
+	if s.markReady() {
+		s.dispatchDirty()
+		s.flushSlots()
+	}
+	s.announcePeers()
+	s.finishStop()
+}
+
+func (s *State) route(ev Event) {
+	switch ev := ev.(type) {
+	case RequestArrived:
+		s.arrive(ev)
+	case RequestCancelled:
+		s.cancel(ev.ID)
+	case IDWanted:
+		s.issue(ev)
+	case AttemptAnswered:
+		s.answered(ev)
+	case AttemptEnded:
+		s.attemptEnded(ev)
+	case RelayEnded:
+		s.relayEnded(ev)
+	case PeerMessage:
+		s.receive(ev)
+	case StopRequested:
+		s.stop()
+	default:
+		s.routePlatform(ev)
+	}
+}
+
+func (s *State) routePlatform(ev Event) {
+	switch ev := ev.(type) {
+	case HostListRead:
+		s.hostListRead(ev.Entries)
+	case HostListFailed:
+		s.streams.hostList.answered(s.now, hostListInterval)
+	case LogRead:
+		s.logRead(ev)
+	case LogReadFailed:
+		s.logReadFailed(ev.Stream)
+	case AppendEnded:
+		s.appendEnded(ev)
+	case ProbeEnded:
+		s.probeEnded(ev)
+	}
+}
+
+func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
+
+// rand returns the next random number of the step (splitmix64 over the step's own number).
+func (s *State) rand() uint64 {
+	s.seed += 0x9e3779b97f4a7c15
+	z := s.seed
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
+}
+
 // Wake returns the next time at which Tick must be delivered.
-func (s *State) Wake() time.Duration { return s.now + s.cfg.Timing.Heartbeat }
+func (s *State) Wake() time.Duration {
+	wake := min(s.table.Wake(), s.slots.Wake(), s.timers.wake(), s.streams.wake())
+	if at, ok := s.book.Wake(s.now); ok {
+		wake = min(wake, at)
+	}
+	if s.leaving.begun && !s.leaving.stopped && s.now < s.leaving.until {
+		wake = min(wake, s.leaving.until)
+	}
+	return wake
+}
 
-// Status returns a copy of the state for the admin listener.
-func (s *State) Status() Status {
-	return Status{Host: s.cfg.Host, Incarnation: s.cfg.Incarnation, DataCentre: s.cfg.DataCentre}
+// stop begins a graceful shutdown: callers are sent elsewhere at once, and those that still arrive are served
+// until every address given out and every deadline has passed.
+func (s *State) stop() {
+	if s.leaving.begun {
+		return
+	}
+	s.leaving.begun = true
+	s.leaving.until = s.now + s.cfg.Timing.AddressLifetime + s.topo.longestDeadline()
+	s.table.SetLeaving(s.now)
+	s.notice(false, "leaving", "until", s.leaving.until.String())
 }
 
-// Addresses returns the hosts that a caller of a class may use, nearest first, and how long it may keep them.
-func (s *State) Addresses(time.Duration, ident.ClassName) ([]Address, time.Duration) {
-	return nil, s.cfg.Timing.AddressLifetime
+func (s *State) finishStop() {
+	if !s.leaving.begun || s.leaving.stopped || s.now < s.leaving.until || len(s.requests) > 0 {
+		return
+	}
+	s.leaving.stopped = true
+	s.emit(Stop{})
 }
--- a/lib/core/effect.go
+++ b/lib/core/effect.go
@@ -16,7 +16,8 @@
 	Upstream ident.UpstreamID
 	Address  string
 	Class    ident.ClassName
-	// Deadline ends the attempt; StartBy is the last time at which the first byte may leave.
+	// Deadline ends the attempt; StartBy is the last time at which the first byte may leave. An attempt that is
+	// late is not sent and ends with OutcomeNotSent.
 	Deadline, StartBy time.Duration
 	// Idempotent allows cancellation to be passed on to the upstream.
 	Idempotent bool
@@ -30,7 +31,8 @@
 	Attempt int
 }
 
-// Deliver streams the answer of an attempt to the caller. At most one is sent for each request.
+// Deliver streams the answer of an attempt to the caller. At most one is sent for each request. If the caller has left, the
+// runner reads the answer to its end and drops it.
 type Deliver struct {
 	ID      ident.RequestID
 	Attempt int
@@ -50,7 +52,8 @@
 	RetryAfter time.Duration
 }
 
-// Relay passes the request on to another host and its answer back.
+// Relay passes the request on to another host and its answer back. RelayEnded follows; Refuse follows it if the other
+// host's answer did not reach the caller.
 type Relay struct {
 	ID ident.RequestID
 	To ident.HostID
--- a/lib/core/event.go
+++ b/lib/core/event.go
@@ -34,7 +34,8 @@
 	Replayable bool
 }
 
-// RequestCancelled reports that the caller closed its connection.
+// RequestCancelled reports that the caller closed its connection before the answer's end. No terminal effect follows, but
+// attempts may go on; see Deliver.
 type RequestCancelled struct{ ID ident.RequestID }
 
 // IDWanted reports that a caller asked for a request ID; the reducer answers with IDIssued or Refuse.
@@ -43,10 +44,12 @@
 	Class ident.ClassName
 }
 
-// AttemptAnswered reports that the whole head of an upstream's answer was read.
+// AttemptAnswered reports that the whole head of an upstream's answer was read. It is not sent for an answer that was shed or
+// belonged to another request.
 type AttemptAnswered struct {
-	ID        ident.RequestID
-	Attempt   int
+	ID      ident.RequestID
+	Attempt int
+	// FirstByte is the time from the start of the attempt.
 	FirstByte time.Duration
 	// Incarnation is the upstream's own, empty if it sent none.
 	Incarnation string
@@ -62,6 +65,8 @@
 	Took time.Duration
 	// NewConn reports that the attempt opened a connection.
 	NewConn bool
+	// Refused reports, with OutcomeNotSent, that the upstream refused a connection or did not accept one in time.
+	Refused bool
 	// Answer is the captured answer, set if StartAttempt asked for it and the answer was small enough.
 	Answer *Answer
 }
--- /dev/null
+++ b/lib/core/helper_test.go
@@ -0,0 +1,224 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sardinecross.example/lib/common/ident"
+	"sardinecross.example/lib/conf"
+)
+
+const (
+	ms = time.Millisecond
+	// settle is the time after which a new host owns its upstreams: the pledge of a former incarnation and
+	// the slots it may have granted have expired.
+	settle = 5 * time.Second
+)
+
+// failer is the part of testing.T and rapid.T that the harness uses.
+type failer interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+// host drives one reducer. The platform answers at once, and what the reducer decides is collected.
+type host struct {
+	t       failer
+	s       *State
+	now     time.Duration
+	rnd     uint64
+	entries []HostEntry
+	streams map[Stream][]Record
+	// logDown makes reads and appends fail.
+	logDown bool
+	// effects are those since the last call of take, without those of the platform and peers.
+	effects []Effect
+	nextID  ident.RequestID
+	version map[conf.Item]int64
+	// observe sees every event and effect.
+	observe func(ev Event, effects []Effect)
+}
+
+var testServices = map[ident.ServiceName]Service{
+	"booking": {Slots: 4, ColdSlots: 1, MeasuringShare: 0.01},
+}
+
+func testSettings() Settings {
+	return Settings{
+		Host: "passau-1", Incarnation: 7, DataCentre: "passau",
+		DataCentres: []ident.DataCentre{"passau", "landshut"}, Services: testServices,
+	}
+}
+
+// classes of the tests: orders is not idempotent, enquiry is.
+var testClasses = map[ident.ClassName]conf.Class{
+	"orders":  {Service: "booking", Target: 50 * ms, Deadline: time.Second, Rank: 1},
+	"enquiry": {Service: "booking", Target: 50 * ms, Deadline: time.Second, Rank: 2, Idempotent: true},
+}
+
+// newHost returns a host with upstreams u0, u1, .. that has run until it can serve.
+func newHost(t failer, upstreams int) *host {
+	h := &host{
+		t: t, s: New(testSettings()), streams: map[Stream][]Record{}, version: map[conf.Item]int64{}, nextID: 1,
+	}
+	h.entries = append(h.entries, HostEntry{
+		ID: "passau-1", Role: RoleHost, DataCentre: "passau", Address: "127.0.1.1:80", PeerAddress: "127.0.1.1:90",
+	})
+	for i := range upstreams {
+		h.entries = append(h.entries, upstreamEntry(i, "passau"))
+	}
+	for _, name := range []ident.ClassName{"enquiry", "orders"} {
+		h.publish(conf.ClassItem(name), conf.Value{Class: testClasses[name]})
+	}
+	h.run(settle)
+	h.take()
+	return h
+}
+
+func upstreamEntry(i int, dc ident.DataCentre) HostEntry {
+	return HostEntry{
+		ID: fmt.Sprintf("u%d", i), Role: RoleUpstream, Service: "booking", DataCentre: dc,
+		Address: fmt.Sprintf("127.0.2.%d:80", i+1),
+	}
+}
+
+// publish appends a proposal that will be accepted.
+func (h *host) publish(item conf.Item, value conf.Value) {
+	h.t.Helper()
+	base, ok := h.version[item]
+	if !ok {
+		base = conf.NoVersion
+	}
+	n := len(h.streams[StreamConfig])
+	data, err := conf.NewProposal(conf.Proposal{
+		ID: conf.ProposalID(fmt.Sprintf("proposal-%d", n)), Item: item, Base: base, Value: value,
+	})
+	if err != nil {
+		h.t.Fatalf("proposal: %v", err)
+	}
+	h.version[item] = h.add(StreamConfig, data)
+}
+
+func (h *host) add(stream Stream, data []byte) int64 {
+	offset := int64(len(h.streams[stream]))
+	h.streams[stream] = append(h.streams[stream], Record{Offset: offset, Data: data})
+	return offset
+}
+
+// step delivers one event and answers what the reducer asks of the platform.
+func (h *host) step(ev Event) {
+	h.rnd = h.rnd*6364136223846793005 + 1442695040888963407
+	effects := append([]Effect(nil), h.s.Step(h.now, h.rnd, ev)...)
+	if h.observe != nil {
+		h.observe(ev, effects)
+	}
+	for _, e := range effects {
+		h.answer(e)
+	}
+}
+
+func (h *host) answer(e Effect) {
+	switch e := e.(type) {
+	case ReadHostList:
+		h.step(HostListRead{Entries: h.entries})
+	case ReadLog:
+		h.readLog(e)
+	case Append:
+		if h.logDown {
+			h.step(AppendEnded{Stream: e.Stream, AppendID: e.AppendID, NotApplied: true})
+			return
+		}
+		offset := h.add(e.Stream, e.Data)
+		h.step(AppendEnded{Stream: e.Stream, AppendID: e.AppendID, Answered: true, Offset: offset})
+	case SendPeer, Peers, Notice:
+	default:
+		h.effects = append(h.effects, e)
+	}
+}
+
+func (h *host) readLog(e ReadLog) {
+	if h.logDown {
+		h.step(LogReadFailed{Stream: e.Stream})
+		return
+	}
+	all := h.streams[e.Stream]
+	from := min(max(0, e.From), int64(len(all)))
+	h.step(LogRead{Stream: e.Stream, From: e.From, Records: all[from:], Next: int64(len(all)), SentAt: h.now})
+}
+
+// run lets time pass and delivers each Tick that the reducer asks for.
+func (h *host) run(d time.Duration) {
+	h.t.Helper()
+	end := h.now + d
+	for same := 0; h.s.Wake() <= end; same++ {
+		if wake := h.s.Wake(); wake > h.now {
+			h.now = wake
+			same = 0
+		}
+		if same > 100 {
+			h.t.Fatalf("the reducer asks for 100 ticks at %v", h.now)
+		}
+		h.step(Tick{})
+	}
+	h.now = end
+	h.step(Tick{})
+}
+
+// take returns the effects since the last call.
+func (h *host) take() []Effect {
+	out := h.effects
+	h.effects = nil
+	return out
+}
+
+// arrive delivers a request with a buffered body and returns its ID.
+func (h *host) arrive(ev RequestArrived) ident.RequestID {
+	h.nextID++
+	ev.ID = h.nextID
+	ev.Replayable = true
+	h.step(ev)
+	return ev.ID
+}
+
+func (h *host) end(id ident.RequestID, attempt int, outcome Outcome) {
+	h.step(AttemptEnded{ID: id, Attempt: attempt, Outcome: outcome, Took: 5 * ms})
+}
+
+func (h *host) answered(id ident.RequestID, attempt, status int) {
+	h.step(AttemptAnswered{ID: id, Attempt: attempt, Status: status, FirstByte: 4 * ms, Incarnation: "1"})
+}
+
+// serve answers one whole request.
+func (h *host) serve(id ident.RequestID, attempt int) {
+	h.answered(id, attempt, 200)
+	h.end(id, attempt, OutcomeComplete)
+}
+
+// only returns the one effect since the last call of take, which must be of type E.
+func only[E Effect](t testing.TB, h *host) E {
+	t.Helper()
+	effects := h.take()
+	if len(effects) == 1 {
+		if e, ok := effects[0].(E); ok {
+			return e
+		}
+	}
+	var want E
+	t.Fatalf("got effects %+v, want one %T", effects, want)
+	return want
+}
+
+func assertNone(t testing.TB, h *host) {
+	t.Helper()
+	if effects := h.take(); len(effects) > 0 {
+		t.Fatalf("got effects %+v, want none", effects)
+	}
+}
+
+func assertRefused(t testing.TB, h *host, reason Reason, run Run) {
+	t.Helper()
+	if e := only[Refuse](t, h); e.Reason != reason || e.Run != run {
+		t.Fatalf("refused with %s, run %s; want %s, run %s", e.Reason, e.Run, reason, run)
+	}
+}
--- a/lib/core/settings.go
+++ b/lib/core/settings.go
@@ -11,6 +11,8 @@
 	Host        ident.HostID
 	Incarnation ident.Incarnation
 	DataCentre  ident.DataCentre
+	// Address is the own listener for callers, used until the host list has it.
+	Address string
 	// DataCentres are all of the site, in the order of preference after the own one.
 	DataCentres []ident.DataCentre
 	Services    map[ident.ServiceName]Service
@@ -36,34 +38,31 @@
 	Pledge            time.Duration
 	AddressLifetime   time.Duration
 	RequestIDLifetime time.Duration
+	// Retention is the time for which the log keeps a record at least, 20 minutes by default.
+	Retention time.Duration
 }
 
 // Limits bounds tables; a zero field means its default.
 type Limits struct {
 	// RequestIDs is the number of issued request IDs and keys that may be remembered at once.
 	RequestIDs int
+	// StoredAnswerBytes is the size of the largest answer that is stored for a repetition.
+	StoredAnswerBytes int
 }
 
-// Intervals at which the reducer polls the platform. The host list costs one small read;
-// claims are read faster while an order waits for its own claim.
-const (
-	hostListInterval  = 250 * time.Millisecond
-	confInterval      = 200 * time.Millisecond
-	claimInterval     = 200 * time.Millisecond
-	claimFastInterval = 10 * time.Millisecond
-)
-
 func (t Timing) withDefaults() Timing {
 	setDefault(&t.Heartbeat, 100*time.Millisecond)
 	setDefault(&t.Lease, 500*time.Millisecond)
 	setDefault(&t.Pledge, time.Second)
 	setDefault(&t.AddressLifetime, 2*time.Second)
 	setDefault(&t.RequestIDLifetime, time.Minute)
+	setDefault(&t.Retention, 20*time.Minute)
 	return t
 }
 
 func (l Limits) withDefaults() Limits {
 	setDefault(&l.RequestIDs, 100_000)
+	setDefault(&l.StoredAnswerBytes, 1<<16)
 	return l
 }
 
--- a/lib/core/status.go
+++ b/lib/core/status.go
@@ -1,9 +1,13 @@
 package core
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"sardinecross.example/lib/common/ident"
+	"sardinecross.example/lib/member"
 )
 
 // Status is a copy of the state for the admin listener; the receiver may keep it.
@@ -77,3 +81,68 @@
 	Address    string
 	DataCentre ident.DataCentre
 }
+
+func classStatus(c *class) ClassStatus {
+	return ClassStatus{
+		Name: c.name, Service: c.service.name, Target: c.def.Target, Deadline: c.def.Deadline,
+		Idempotent: c.def.Idempotent, Rank: c.def.Rank, Queued: c.policy.Queue.Len(), InFlight: c.inFlight,
+	}
+}
+
+func (s *State) upstreamStatus(u *upstream) UpstreamStatus {
+	st := UpstreamStatus{
+		ID: u.id, Service: u.service.name, DataCentre: u.dataCentre, Out: u.out, Leaving: u.leaving,
+	}
+	if l, ok := s.slots.Status(s.now, u.id); ok {
+		st.Owner, st.Held, st.InFlight = l.Owner, l.Held, l.InFlight
+		if l.Owner == s.cfg.Host {
+			st.Limit = l.Limit
+		}
+	}
+	for _, c := range u.service.classes {
+		st.Ejected = st.Ejected || c.policy.Watch.Ejected(u.id)
+		st.Smoothed = max(st.Smoothed, c.policy.Watch.Observed(u.id))
+	}
+	return st
+}
+
+func (s *State) memberStatus(h member.Host) MemberStatus {
+	version := h.ConfVersion
+	if h.ID == s.cfg.Host {
+		version = s.conf.Version()
+	}
+	return MemberStatus{
+		ID: h.ID, Incarnation: h.Incarnation, DataCentre: h.DataCentre, Reachable: h.Reachable,
+		Leaving: h.Leaving, ConfVersion: version,
+	}
+}
+
+func (s *State) countersCopy() Counters {
+	c := s.counters
+	c.Refused = maps.Clone(c.Refused)
+	return c
+}
+
+// Status returns a copy of the state for the admin listener. The runner calls it under the mutex of Step.
+func (s *State) Status() Status {
+	st := Status{
+		Host: s.cfg.Host, Incarnation: s.cfg.Incarnation, DataCentre: s.cfg.DataCentre,
+		Leaving: s.leaving.begun, ConfVersion: s.conf.Version(), ConfAge: s.conf.Age(s.now),
+		InService: s.inService(), LogAnswers: s.streams.logAnswers, Counters: s.countersCopy(),
+	}
+	for _, svc := range s.topo.order {
+		for _, c := range svc.classes {
+			st.Classes = append(st.Classes, classStatus(c))
+		}
+	}
+	slices.SortFunc(st.Classes, func(a, b ClassStatus) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	for _, e := range s.topo.entries {
+		if u := s.topo.upstreams[ident.UpstreamID(e.ID)]; e.Role == RoleUpstream && u != nil {
+			st.Upstreams = append(st.Upstreams, s.upstreamStatus(u))
+		}
+	}
+	for _, h := range s.table.Hosts() {
+		st.Members = append(st.Members, s.memberStatus(h))
+	}
+	return st
+}
--- a/lib/policy/watch.go
+++ b/lib/policy/watch.go
@@ -38,6 +38,8 @@
 	// smoothed is zero before the first observation.
 	smoothed time.Duration
 	ejected  bool
+	// slow counts the slow answers in a row.
+	slow int
 	// trialAt is the earliest time of the next trial while ejected.
 	trialAt time.Duration
 }
@@ -108,6 +110,33 @@
 	return max(w.median, 1)
 }
 
+// Observed returns the smoothed time of an upstream, zero before the first observation.
+func (w *Watch) Observed(id ident.UpstreamID) time.Duration {
+	if u := w.upstreams[id]; u != nil {
+		return u.smoothed
+	}
+	return 0
+}
+
+// Slow records whether an answer's head took more than factor times the median and reports whether this was so twice
+// in a row, which is a sign of a cold upstream.
+func (w *Watch) Slow(id ident.UpstreamID, took, factor time.Duration) bool {
+	u := w.upstreams[id]
+	if u == nil {
+		return false
+	}
+	if w.median == 0 || took <= factor*w.median {
+		u.slow = 0
+		return false
+	}
+	u.slow++
+	if u.slow < 2 {
+		return false
+	}
+	u.slow = 0
+	return true
+}
+
 // Ejected reports whether an upstream gets no normal work of the class.
 func (w *Watch) Ejected(id ident.UpstreamID) bool {
 	u := w.upstreams[id]
