--- /dev/null
+++ b/lib/order/helper_test.go
@@ -0,0 +1,79 @@
+package order
+
+import (
+	"testing"
+	"time"
+
+	"sardinecross.example/lib/common/ident"
+)
+
+const second = time.Second
+
+// host drives one book against a log of its own.
+type host struct {
+	*Book
+	log []Record
+}
+
+func newHost(self ident.Incarnation, limits Limits) *host {
+	return &host{Book: NewBook(self, limits)}
+}
+
+// flush appends what the book wants appended to the given logs.
+func (h *host) flush(t *testing.T, now time.Duration, logs ...*host) {
+	t.Helper()
+	a, ok := h.Flush(now, 1)
+	if !ok {
+		t.Fatal("nothing to append")
+	}
+	for _, l := range append(logs, h) {
+		l.log = append(l.log, Record{Offset: int64(len(l.log)), Data: a.Data})
+	}
+	h.Appended(now, a.ID, Answered)
+}
+
+func (h *host) read(now time.Duration) []Verdict {
+	return h.Read(now, Batch{Records: h.log, Next: int64(len(h.log))})
+}
+
+// claim makes the host hold a key and returns the ID of the request that started.
+func (h *host) claim(t *testing.T, now time.Duration, r Request, logs ...*host) {
+	t.Helper()
+	assertVerdict(t, h.Begin(now, r), Verdict{Request: r.ID, Action: Wait})
+	h.flush(t, now, logs...)
+	assertVerdicts(t, h.read(now), Verdict{Request: r.ID, Action: Start})
+}
+
+func byKey(id ident.RequestID, key string) Request {
+	return Request{ID: id, Key: key, Deadline: 2 * second}
+}
+
+func byToken(id ident.RequestID, token string) Request {
+	return Request{ID: id, Class: "orders", Token: token, Deadline: 2 * second}
+}
+
+func assertVerdict(t *testing.T, got, want Verdict) {
+	t.Helper()
+	if got != want {
+		t.Fatalf("got %+v, want %+v", got, want)
+	}
+}
+
+func assertVerdicts(t *testing.T, got []Verdict, want ...Verdict) {
+	t.Helper()
+	if len(got) != len(want) {
+		t.Fatalf("got %+v, want %+v", got, want)
+	}
+	for i := range got {
+		assertVerdict(t, got[i], want[i])
+	}
+}
+
+func issue(t testing.TB, b *Book, now time.Duration, rnd uint64) string {
+	t.Helper()
+	token, err := b.Issue(now, rnd, "orders")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return token.Text
+}
--- /dev/null
+++ b/lib/order/main_test.go
@@ -0,0 +1,17 @@
+package order
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the generated tests; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20240", "rapid.checks": "3000", "rapid.steps": "60", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
