config: Report every mistake of a settings file with its position

Cause: a host with a wrong setting must not start, and the operator should see all mistakes in one run. Change: a decoder over the syntax tree of hujson into tagged structs, with defaults beside their types, ranges, units, unique names and rules across keys. Ruled out: standardising to JSON and encoding/json (it stops at the first mistake, accepts repeated keys and gives no position of values).

--- a/lib/config/config.go
+++ b/lib/config/config.go
@@ -3,11 +3,19 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
+	"io"
+	"os"
+	"reflect"
+	"slices"
 	"strings"
 )
 
-// Load reads the file and decodes it into dst, a pointer to a struct that holds the defaults. It fails with *FileError if
+// MaxFile is the largest settings file that is read.
+const MaxFile = 1 << 20
+
+// Load reads the file and decodes it into dst, a pointer to a struct that may hold defaults. It fails with *FileError if
 // the file cannot be read and with *Mistakes if it contains mistakes.
 //
 // Supported field types are bool, string, int, int64, float64, time.Duration (a string with a unit), netip.AddrPort (IP and port),
@@ -15,18 +23,41 @@
 //
 //	config:"name"            the key; fields without the tag are not settings
 //	config:"name,required"   the key must be present
-//	range:"1..100"           bounds of a number or duration, or of a slice's or map's length; one side may be empty
+//	config:"name,empty"      the string may be empty
+//	range:"1..100"           bounds of a number or duration, or of the length of a slice or map; one side may be empty
 //	oneof:"text json"        the values that a string may have
-//	unique:"."               the elements of a slice differ; unique:"id" compares that key of the elements
+//	unique:"."               the elements of a slice differ; unique:"id" compares the elements' key id
 //
-// A string must not be empty unless its tag is config:"name,empty". A struct or map value type with a method SetDefaults on its pointer is
-// given its defaults before it is decoded. One with a method Check is asked to report mistakes that concern several keys.
-func Load(file string, dst any) error { return nil }
+// A struct that is zero and has a method SetDefaults on its pointer is given its defaults before it is decoded. If a struct without
+// mistakes has a method Check, it is asked for mistakes that concern several keys.
+func Load(file string, dst any) error {
+	f, err := os.Open(file)
+	if err != nil {
+		return &FileError{File: file, Err: err}
+	}
+	defer func() { _ = f.Close() }()
+	data, err := io.ReadAll(io.LimitReader(f, MaxFile+1))
+	if err != nil {
+		return &FileError{File: file, Err: err}
+	}
+	return Decode(file, data, dst)
+}
 
 // Decode does what Load does with the contents of a file.
-func Decode(file string, data []byte, dst any) error { return nil }
+func Decode(file string, data []byte, dst any) error {
+	d := &decoder{file: file, data: data, offsets: make(map[string]int)}
+	d.decode(reflect.ValueOf(dst).Elem())
+	if len(d.list) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(d.list, func(a, b Mistake) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
+	return &Mistakes{List: d.list}
+}
 
-// Checker is implemented by settings that have rules across several keys. Keys are relative to the struct ("timing.lease").
+// Checker is implemented by settings that have rules across several keys. Keys are relative to the struct ("timing.lease"); an empty key
+// is the struct itself.
 type Checker interface {
 	Check(report func(key, problem string))
 }
--- a/lib/config/daemon.go
+++ b/lib/config/daemon.go
@@ -1,7 +1,9 @@
 package config
 
 import (
+	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"sardinecross.example/lib/common/ident"
@@ -92,6 +94,85 @@
 	Processors       int   `config:"processors" range:"1..1024"`
 }
 
+// SetDefaults implements Defaulter.
+func (s *Service) SetDefaults() {
+	*s = Service{ColdSlots: 1, Connections: 256, ProbeCost: 6 * time.Millisecond, ConnectionCost: time.Millisecond, MeasuringShare: 0.01}
+}
+
+// SetDefaults implements Defaulter.
+func (l *Logging) SetDefaults() { *l = Logging{Level: "info", Format: "text"} }
+
+// SetDefaults implements Defaulter.
+func (l *Limits) SetDefaults() {
+	*l = Limits{
+		HeaderBytes:          16 << 10,
+		BodyBytes:            1 << 20,
+		ConnectionsPerCaller: 256,
+		StoredAnswerBytes:    64 << 10,
+		RequestIDs:           100_000,
+	}
+}
+
+// SetDefaults implements Defaulter.
+func (t *Timing) SetDefaults() {
+	*t = Timing{
+		Heartbeat:         100 * time.Millisecond,
+		Lease:             500 * time.Millisecond,
+		Pledge:            time.Second,
+		AddressLifetime:   2 * time.Second,
+		RequestIDLifetime: time.Minute,
+	}
+}
+
+// SetDefaults implements Defaulter.
+func (r *Runtime) SetDefaults() {
+	*r = Runtime{GCPercent: 800, MemoryLimitBytes: 512 << 20, Processors: 2}
+}
+
+// Check implements Checker.
+func (d *Daemon) Check(report func(key, problem string)) {
+	if !slices.Contains(d.DataCentres, d.Host.DataCentre) {
+		report("host.dataCentre", fmt.Sprintf("%q is not among dataCentres", d.Host.DataCentre))
+	}
+}
+
+// Check implements Checker.
+func (l *Listen) Check(report func(key, problem string)) {
+	if l.Callers == l.Admin {
+		report("admin", "is the same address as callers")
+	}
+}
+
+// Check implements Checker.
+func (s *Service) Check(report func(key, problem string)) {
+	if s.ColdSlots > s.Slots {
+		report("coldSlots", "is above slots")
+	}
+}
+
+// Check implements Checker.
+func (t *Timing) Check(report func(key, problem string)) {
+	// A lease or pledge that lasts no longer than the heartbeat that renews it would lapse between two heartbeats.
+	if t.Lease <= t.Heartbeat {
+		report("lease", "is not above heartbeat")
+	}
+	if t.Pledge <= t.Heartbeat {
+		report("pledge", "is not above heartbeat")
+	}
+}
+
+var (
+	_ Defaulter = (*Service)(nil)
+	_ Defaulter = (*Logging)(nil)
+	_ Defaulter = (*Limits)(nil)
+	_ Defaulter = (*Timing)(nil)
+	_ Defaulter = (*Runtime)(nil)
+	_ Checker   = (*Daemon)(nil)
+	_ Checker   = (*Listen)(nil)
+	_ Checker   = (*Service)(nil)
+	_ Checker   = (*Timing)(nil)
+)
+
 // LoadDaemon reads the settings of sardined.
 func LoadDaemon(file string) (Daemon, error) {
 	var d Daemon
