peer: Link hosts over QUIC

One connection for each pair, dialled by the host with the smaller ID, with mutual TLS from the site's CA. Relayed answers end with an empty chunk; without it they are incomplete.

--- /dev/null
+++ b/sardined/peer/peer_test.go
@@ -0,0 +1,398 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"go.uber.org/goleak"
+
+	"sardinecross.example/lib/common/ident"
+	"sardinecross.example/lib/core"
+	"sardinecross.example/lib/member"
+	"sardinecross.example/sardined/metric"
+	"sardinecross.example/sardined/runner"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// recorder is a sink that keeps the answer.
+type recorder struct {
+	status int
+	header http.Header
+	length int64
+	body   []byte
+}
+
+func (s *recorder) Head(status int, header http.Header, length int64) error {
+	s.status, s.header, s.length = status, header, length
+	return nil
+}
+
+func (s *recorder) Write(p []byte) (int, error) {
+	s.body = append(s.body, p...)
+	return len(p), nil
+}
+
+func (s *recorder) Flush() error { return nil }
+
+type received struct {
+	from        ident.HostID
+	incarnation ident.Incarnation
+	message     core.Message
+}
+
+// host is the links of one host with a handler that records messages.
+type host struct {
+	*Links
+	messages chan received
+	serve    atomic.Pointer[serveFunc]
+}
+
+type serveFunc func(ctx context.Context, req *runner.Request, sink runner.Sink) error
+
+func (h *host) PeerMessage(from ident.HostID, incarnation ident.Incarnation, m core.Message) {
+	h.messages <- received{from, incarnation, m}
+}
+
+func (h *host) Serve(ctx context.Context, req *runner.Request, sink runner.Sink) error {
+	return (*h.serve.Load())(ctx, req, sink)
+}
+
+func newHost(t testing.TB, a *authority, id ident.HostID, incarnation ident.Incarnation, address string) *host {
+	t.Helper()
+	links, err := New(Config{
+		Host:          id,
+		Incarnation:   incarnation,
+		Address:       netip.MustParseAddrPort(address),
+		CAFile:        a.file("ca.pem"),
+		IdentityFile:  a.file(string(id) + ".pem"),
+		HeaderBytes:   4096,
+		BodyBytes:     1 << 20,
+		BufferedBytes: 1 << 24,
+	}, Deps{Metrics: metric.New(), Logger: slog.New(slog.DiscardHandler)})
+	assertNoError(t, err)
+	h := &host{Links: links, messages: make(chan received, 1000)}
+	assertNoError(t, links.Start(h))
+	t.Cleanup(h.Close)
+	return h
+}
+
+// pair returns two hosts that know each other; "a" dials.
+func pair(t testing.TB) (*host, *host) {
+	t.Helper()
+	a := newAuthority(t)
+	a.issue(t, "a")
+	a.issue(t, "b")
+	ha := newHost(t, a, "a", 1, "127.0.0.1:0")
+	hb := newHost(t, a, "b", 2, "127.0.0.1:0")
+	introduce(ha, hb)
+	exchange(t, ha, hb)
+	return ha, hb
+}
+
+func introduce(hosts ...*host) {
+	var list []core.PeerAddress
+	for _, h := range hosts {
+		list = append(list, core.PeerAddress{ID: h.cfg.Host, Address: h.Address().String()})
+	}
+	for _, h := range hosts {
+		h.SetPeers(list)
+	}
+}
+
+func heartbeat(seq uint64) core.Message {
+	return core.Message{Heartbeat: &member.Heartbeat{Seq: seq}}
+}
+
+// exchange sends heartbeats both ways until one arrives on each side.
+func exchange(t testing.TB, a, b *host) {
+	t.Helper()
+	for _, way := range [][2]*host{{a, b}, {b, a}} {
+		for arrived := false; !arrived; {
+			way[0].Send(way[1].cfg.Host, heartbeat(0))
+			select {
+			case m := <-way[1].messages:
+				arrived = m.from == way[0].cfg.Host && m.incarnation == way[0].cfg.Incarnation
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+	}
+}
+
+// The reducer relies on the order of messages within an incarnation.
+func TestMessageOrder(t *testing.T) {
+	a, b := pair(t)
+	const n = 500
+	for i := uint64(1); i <= n; i++ {
+		a.Send("b", heartbeat(i))
+		if i%50 == 0 {
+			awaitSeq(t, b, i)
+		}
+	}
+}
+
+// awaitSeq reads messages until one has the number; the numbers must not decrease.
+func awaitSeq(t *testing.T, h *host, want uint64) {
+	t.Helper()
+	for last := uint64(0); last != want; {
+		seq := (<-h.messages).message.Heartbeat.Seq
+		if seq < last {
+			t.Fatalf("message %d after %d", seq, last)
+		}
+		last = seq
+	}
+}
+
+// A frozen or restarted host must be reached again, under its new incarnation, and without messages meant for the old one.
+func TestRestart(t *testing.T) {
+	root := t // The hosts outlive the subtest that starts them.
+	a := newAuthority(t)
+	a.issue(t, "a")
+	a.issue(t, "b")
+	ha := newHost(t, a, "a", 1, "127.0.0.1:0")
+	hb := newHost(t, a, "b", 2, "127.0.0.1:0")
+	introduce(ha, hb)
+	exchange(t, ha, hb)
+	t.Run("of the host that is dialled", func(t *testing.T) {
+		address := hb.Address().String()
+		hb.Close()
+		hb = newHost(root, a, "b", 3, address)
+		introduce(ha, hb)
+		exchange(t, ha, hb)
+	})
+	t.Run("of the host that dials", func(t *testing.T) {
+		address := ha.Address().String()
+		ha.Close()
+		ha = newHost(root, a, "a", 4, address)
+		introduce(ha, hb)
+		exchange(t, ha, hb)
+	})
+	t.Run("without a farewell", func(t *testing.T) {
+		address := ha.Address().String()
+		ha.conn.Close()
+		ha.Close()
+		ha = newHost(root, a, "a", 5, address)
+		introduce(ha, hb)
+		exchange(t, ha, hb)
+	})
+}
+
+// The queue for a host that takes nothing must stay bounded and keep the newest messages.
+func TestQueueDropsOldest(t *testing.T) {
+	p := newPeer("b")
+	if p.push(heartbeat(0)) != 1 {
+		t.Error("message queued without a link")
+	}
+	p.link = &link{}
+	dropped := 0
+	for i := range uint64(queueSize + 10) {
+		dropped += p.push(heartbeat(i))
+	}
+	queued := p.take(nil)
+	if dropped != 10 || len(queued) != queueSize || queued[0].Heartbeat.Seq != 10 {
+		t.Errorf("%d dropped, %d queued, first %d", dropped, len(queued), queued[0].Heartbeat.Seq)
+	}
+}
+
+// Only hosts with a certificate of the site's CA, under their own name, may take part.
+func TestIdentity(t *testing.T) {
+	site, other := newAuthority(t), newAuthority(t)
+	site.issue(t, "a")
+	site.issue(t, "b")
+	other.issue(t, "a")
+	t.Run("file of another host", func(t *testing.T) {
+		_, err := New(Config{Host: "c", CAFile: site.file("ca.pem"), IdentityFile: site.file("a.pem")},
+			Deps{Metrics: metric.New(), Logger: slog.New(slog.DiscardHandler)})
+		var ie *IdentityError
+		if !errors.As(err, &ie) {
+			t.Errorf("error %v", err)
+		}
+	})
+	t.Run("another CA", func(t *testing.T) {
+		hb := newHost(t, site, "b", 2, "127.0.0.1:0")
+		stranger := newHost(t, other, "a", 1, "127.0.0.1:0")
+		_, err := stranger.dial("b", hb.Address())
+		if err == nil {
+			t.Error("stranger trusts the host")
+		}
+		if conn, err := dialRaw(t, hb, other.file("a.pem"), site.file("ca.pem")); err == nil {
+			assertRefused(t, conn)
+		}
+	})
+	t.Run("name of a host that must be dialled", func(t *testing.T) {
+		hb := newHost(t, site, "b", 2, "127.0.0.1:0")
+		conn, err := dialRaw(t, hb, site.file("b.pem"), site.file("ca.pem"))
+		assertNoError(t, err)
+		assertRefused(t, conn)
+	})
+	t.Run("reload", func(t *testing.T) {
+		ha := newHost(t, site, "a", 1, "127.0.0.1:0")
+		before, _ := ha.identity.current()
+		site.write(t, "a.pem", []byte("broken"))
+		kept, _ := ha.identity.current()
+		site.issue(t, "a")
+		after, _ := ha.identity.current()
+		if before.Leaf.SerialNumber.Cmp(kept.Leaf.SerialNumber) != 0 {
+			t.Error("broken file took effect")
+		}
+		if before.Leaf.SerialNumber.Cmp(after.Leaf.SerialNumber) == 0 {
+			t.Error("new file took no effect")
+		}
+		hb := newHost(t, site, "b", 2, "127.0.0.1:0")
+		introduce(ha, hb)
+		exchange(t, ha, hb)
+	})
+}
+
+// dialRaw connects to a host with an identity of the test's choice.
+func dialRaw(t *testing.T, to *host, identityFile, caFile string) (*quic.Conn, error) {
+	t.Helper()
+	ca, err := os.ReadFile(caFile)
+	assertNoError(t, err)
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(ca)
+	certificate, err := tls.LoadX509KeyPair(identityFile, identityFile)
+	assertNoError(t, err)
+	id := &identity{caFile: caFile, file: identityFile, pool: pool, certificate: certificate}
+	id.stamp = id.stamps()
+	udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assertNoError(t, err)
+	transport := &quic.Transport{Conn: udp}
+	t.Cleanup(func() {
+		transport.Close()
+		udp.Close()
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	return transport.Dial(ctx, net.UDPAddrFromAddrPort(to.Address()), id.client(to.cfg.Host), quicConfig())
+}
+
+func assertRefused(t *testing.T, conn *quic.Conn) {
+	t.Helper()
+	<-conn.Context().Done()
+	var idle *quic.IdleTimeoutError
+	if errors.As(context.Cause(conn.Context()), &idle) {
+		t.Error("connection not refused")
+	}
+}
+
+// A message that cannot be read must neither stop those after it nor reach the reducer.
+func TestBrokenMessages(t *testing.T) {
+	site := newAuthority(t)
+	site.issue(t, "a")
+	site.issue(t, "b")
+	hb := newHost(t, site, "b", 2, "127.0.0.1:0")
+	conn, err := dialRaw(t, hb, site.file("a.pem"), site.file("ca.pem"))
+	assertNoError(t, err)
+	stream, err := conn.OpenUniStream()
+	assertNoError(t, err)
+	assertNoError(t, writeFrame(stream, wireHello{Version: wireVersion, Incarnation: 7}, maxMessageBytes))
+	assertNoError(t, writeFrame(stream, map[int]int{99: 1}, maxMessageBytes))
+	stream.Write([]byte{0, 0, 0, 2, 0xff, 0xff})
+	whole, err := encodeMessage(nil, heartbeat(5))
+	assertNoError(t, err)
+	stream.Write(whole)
+	m := <-hb.messages
+	if m.from != "a" || m.incarnation != 7 || m.message.Heartbeat.Seq != 5 {
+		t.Errorf("received %+v", m)
+	}
+	if n := hb.deps.Metrics.PeerMessagesInvalid.Count(); n != 2 {
+		t.Errorf("%d invalid messages counted", n)
+	}
+	stream.Write([]byte{0xff, 0xff, 0xff, 0xff})
+	assertRefused(t, conn)
+}
+
+// The answer to a relayed request must be complete or visibly incomplete.
+func TestRelay(t *testing.T) {
+	a, b := pair(t)
+	req := &runner.Request{
+		Class: "orders", Tenant: "t", Timeout: 5 * time.Second, Token: "id", Depth: 1, Retry: true, Method: "POST",
+		Path: "/a", RawPath: "/%61", RawQuery: "q", Header: http.Header{"X-A": {"1"}}, Body: []byte(strings.Repeat("b", 100_000)),
+	}
+	relay := func(ctx context.Context, serve serveFunc) (*recorder, bool, error) {
+		b.serve.Store(&serve)
+		sink := &recorder{}
+		passed, err := a.Relay(ctx, "b", req, sink)
+		return sink, passed, err
+	}
+	t.Run("complete", func(t *testing.T) {
+		sink, passed, err := relay(t.Context(), func(_ context.Context, r *runner.Request, sink runner.Sink) error {
+			if r.Class != "orders" || r.Tenant != "t" || r.Token != "id" || r.Depth != 1 || !r.Retry || !r.Relayed ||
+				r.RawPath != "/%61" || r.RawQuery != "q" || r.Header.Get("X-A") != "1" || len(r.Body) != 100_000 {
+				t.Errorf("request %+v", r)
+			}
+			if err := sink.Head(201, http.Header{"X-B": {"2"}}, 100_000); err != nil {
+				return err
+			}
+			_, err := sink.Write(r.Body)
+			return err
+		})
+		assertNoError(t, err)
+		if !passed || sink.status != 201 || sink.header.Get("X-B") != "2" || sink.length != 100_000 || len(sink.body) != 100_000 {
+			t.Errorf("passed %v, status %d, %d bytes", passed, sink.status, len(sink.body))
+		}
+	})
+	t.Run("aborted", func(t *testing.T) {
+		_, passed, err := relay(t.Context(), func(_ context.Context, _ *runner.Request, sink runner.Sink) error {
+			sink.Head(200, nil, 10)
+			sink.Write([]byte("x"))
+			sink.Flush()
+			return &runner.AbortError{}
+		})
+		// The reset may overtake the head.
+		if err == nil {
+			t.Errorf("passed %v without an error", passed)
+		}
+	})
+	t.Run("caller leaves", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		_, passed, err := relay(ctx, func(ctx context.Context, _ *runner.Request, _ runner.Sink) error {
+			cancel()
+			<-ctx.Done()
+			close(ended)
+			return &runner.GoneError{}
+		})
+		if err == nil || passed {
+			t.Errorf("passed %v, error %v", passed, err)
+		}
+		<-ended
+	})
+	t.Run("other host closes", func(t *testing.T) {
+		var once sync.Once
+		arrived := make(chan struct{})
+		go func() {
+			<-arrived
+			b.Close()
+		}()
+		_, passed, err := relay(t.Context(), func(ctx context.Context, _ *runner.Request, _ runner.Sink) error {
+			once.Do(func() { close(arrived) })
+			<-ctx.Done()
+			return &runner.GoneError{}
+		})
+		if err == nil || passed {
+			t.Errorf("passed %v, error %v", passed, err)
+		}
+	})
+	t.Run("unknown host", func(t *testing.T) {
+		_, err := a.Relay(t.Context(), "z", req, &recorder{})
+		var ue *UnreachableError
+		if !errors.As(err, &ue) {
+			t.Errorf("error %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/sardined/peer/relay.go
@@ -0,0 +1,313 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"sardinecross.example/lib/common/ident"
+	"sardinecross.example/sardined/runner"
+)
+
+const (
+	// codeAborted resets the stream of a relayed request that was given up on either side.
+	codeAborted quic.StreamErrorCode = 1
+	// chunkBytes bounds one part of a relayed answer; an empty part ends it.
+	chunkBytes = 32 << 10
+	// headSlack is room for the fields of a relay head besides the caller's header.
+	headSlack = 4 << 10
+	// maxAnswerHeadBytes bounds the head of a relayed answer.
+	maxAnswerHeadBytes = 128 << 10
+)
+
+// wireRequest is the head of a relayed request.
+type wireRequest struct {
+	Class      ident.ClassName     `cbor:"class"`
+	Tenant     ident.Tenant        `cbor:"tenant,omitempty"`
+	Timeout    time.Duration       `cbor:"timeout"`
+	Token      string              `cbor:"token,omitempty"`
+	Key        string              `cbor:"key,omitempty"`
+	Depth      int                 `cbor:"depth,omitempty"`
+	Retry      bool                `cbor:"retry,omitempty"`
+	Method     string              `cbor:"method"`
+	Path       string              `cbor:"path"`
+	RawPath    string              `cbor:"rawPath,omitempty"`
+	RawQuery   string              `cbor:"rawQuery,omitempty"`
+	Header     map[string][]string `cbor:"header,omitempty"`
+	BodyLength int                 `cbor:"bodyLength,omitempty"`
+}
+
+// wireAnswer is the head of a relayed answer.
+type wireAnswer struct {
+	Status int                 `cbor:"status"`
+	Header map[string][]string `cbor:"header,omitempty"`
+	// Length is negative if it is not known.
+	Length int64 `cbor:"length"`
+}
+
+// Relay implements runner.Links.
+func (l *Links) Relay(ctx context.Context, to ident.HostID, req *runner.Request, sink runner.Sink) (bool, error) {
+	l.mu.Lock()
+	p := l.peers[to]
+	l.mu.Unlock()
+	if p == nil {
+		return false, &UnreachableError{Host: to}
+	}
+	conn := p.current()
+	if conn == nil {
+		return false, &UnreachableError{Host: to}
+	}
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return false, err
+	}
+	defer context.AfterFunc(ctx, func() { abort(stream) })()
+	if err := l.sendRequest(stream, req); err != nil {
+		abort(stream)
+		return false, err
+	}
+	passed, err := receiveAnswer(bufio.NewReaderSize(stream, chunkBytes), sink)
+	if err != nil {
+		abort(stream)
+	}
+	return passed, err
+}
+
+func abort(stream *quic.Stream) {
+	stream.CancelRead(codeAborted)
+	stream.CancelWrite(codeAborted)
+}
+
+func (l *Links) sendRequest(stream *quic.Stream, req *runner.Request) error {
+	head := wireRequest{
+		Class:      req.Class,
+		Tenant:     req.Tenant,
+		Timeout:    req.Timeout,
+		Token:      req.Token,
+		Key:        req.Key,
+		Depth:      req.Depth,
+		Retry:      req.Retry,
+		Method:     req.Method,
+		Path:       req.Path,
+		RawPath:    req.RawPath,
+		RawQuery:   req.RawQuery,
+		Header:     req.Header,
+		BodyLength: len(req.Body),
+	}
+	if err := writeFrame(stream, head, l.headLimit()); err != nil {
+		return err
+	}
+	if _, err := stream.Write(req.Body); err != nil {
+		return err
+	}
+	return stream.Close()
+}
+
+// headLimit leaves room for the encoding of the path, which is sent in two forms.
+func (l *Links) headLimit() int { return 3*l.cfg.HeaderBytes + headSlack }
+
+// receiveAnswer copies an answer to sink. It reports whether the head was passed on.
+func receiveAnswer(r io.Reader, sink runner.Sink) (bool, error) {
+	head, err := readAnswerHead(r)
+	if err != nil {
+		return false, err
+	}
+	if err := sink.Head(head.Status, head.Header, head.Length); err != nil {
+		return true, err
+	}
+	buf := make([]byte, chunkBytes)
+	read := int64(0)
+	for {
+		chunk, err := readFrame(r, buf, chunkBytes)
+		if err != nil {
+			return true, err
+		}
+		if len(chunk) == 0 {
+			break
+		}
+		read += int64(len(chunk))
+		if _, err := sink.Write(chunk); err != nil {
+			return true, err
+		}
+		if head.Length < 0 {
+			if err := sink.Flush(); err != nil {
+				return true, err
+			}
+		}
+	}
+	return true, nil
+}
+
+func readAnswerHead(r io.Reader) (wireAnswer, error) {
+	body, err := readFrame(r, nil, maxAnswerHeadBytes)
+	if err != nil {
+		return wireAnswer{}, err
+	}
+	return decodeAnswerHead(body)
+}
+
+func decodeAnswerHead(body []byte) (wireAnswer, error) {
+	var head wireAnswer
+	if err := decMode.Unmarshal(body, &head); err != nil {
+		return wireAnswer{}, &MessageError{Err: err}
+	}
+	if head.Status < http.StatusOK || head.Status > 999 {
+		return wireAnswer{}, &MessageError{Err: &RangeError{Field: "status", Value: int64(head.Status)}}
+	}
+	return head, nil
+}
+
+// acceptRelays runs the requests that the other host passes on.
+func (l *Links) acceptRelays(ctx context.Context, conn *quic.Conn, tasks *sync.WaitGroup) error {
+	for {
+		stream, err := conn.AcceptStream(ctx)
+		if err != nil {
+			return err
+		}
+		tasks.Go(func() { l.serveRelay(stream) })
+	}
+}
+
+// serveRelay runs one relayed request. The stream's context ends when the other host gives up the request.
+func (l *Links) serveRelay(stream *quic.Stream) {
+	req, release, err := l.readRequest(stream)
+	if err != nil {
+		l.deps.Metrics.PeerMessagesInvalid.Inc(1)
+		abort(stream)
+		return
+	}
+	defer release()
+	sink := &streamSink{w: bufio.NewWriterSize(stream, chunkBytes+lengthBytes)}
+	if err := l.handler.Serve(stream.Context(), req, sink); err != nil {
+		abort(stream)
+		return
+	}
+	if err := sink.finish(); err != nil {
+		abort(stream)
+		return
+	}
+	_ = stream.Close()
+}
+
+// relayReadTime bounds the time in which the other host sends a request.
+const relayReadTime = 10 * time.Second
+
+// readRequest reads a whole relayed request.
+func (l *Links) readRequest(stream *quic.Stream) (*runner.Request, func(), error) {
+	if err := stream.SetReadDeadline(time.Now().Add(relayReadTime)); err != nil {
+		return nil, nil, err
+	}
+	body, err := readFrame(stream, nil, l.headLimit())
+	if err != nil {
+		return nil, nil, err
+	}
+	head, err := decodeRequestHead(body, l.cfg.BodyBytes)
+	if err != nil {
+		return nil, nil, err
+	}
+	size := int64(head.BodyLength)
+	if l.buffered.Add(size) > l.cfg.BufferedBytes {
+		l.buffered.Add(-size)
+		return nil, nil, &SizeError{Size: head.BodyLength, Limit: int(l.cfg.BufferedBytes)}
+	}
+	req := head.request()
+	if _, err := io.ReadFull(stream, req.Body); err != nil {
+		l.buffered.Add(-size)
+		return nil, nil, err
+	}
+	return req, func() { l.buffered.Add(-size) }, nil
+}
+
+func decodeRequestHead(body []byte, maxBody int) (wireRequest, error) {
+	var head wireRequest
+	if err := decMode.Unmarshal(body, &head); err != nil {
+		return wireRequest{}, &MessageError{Err: err}
+	}
+	if head.BodyLength < 0 || head.BodyLength > maxBody {
+		return wireRequest{}, &MessageError{Err: &SizeError{Size: head.BodyLength, Limit: maxBody}}
+	}
+	if head.Timeout <= 0 || head.Depth < 0 {
+		return wireRequest{}, &MessageError{Err: &RangeError{Field: "timeout", Value: int64(head.Timeout)}}
+	}
+	if head.Token != "" && head.Key != "" {
+		return wireRequest{}, &MessageError{Err: &KindError{Kinds: 2}}
+	}
+	return head, nil
+}
+
+func (w wireRequest) request() *runner.Request {
+	req := &runner.Request{
+		Class:    w.Class,
+		Tenant:   w.Tenant,
+		Timeout:  w.Timeout,
+		Token:    w.Token,
+		Key:      w.Key,
+		Depth:    w.Depth,
+		Retry:    w.Retry,
+		Relayed:  true,
+		Method:   w.Method,
+		Path:     w.Path,
+		RawPath:  w.RawPath,
+		RawQuery: w.RawQuery,
+		Header:   w.Header,
+	}
+	if w.BodyLength > 0 {
+		req.Body = make([]byte, w.BodyLength)
+	}
+	return req
+}
+
+// streamSink writes an answer to the stream of a relayed request.
+type streamSink struct{ w *bufio.Writer }
+
+var _ runner.Sink = (*streamSink)(nil)
+
+// Head implements runner.Sink.
+func (s *streamSink) Head(status int, header http.Header, length int64) error {
+	return writeFrame(s.w, wireAnswer{Status: status, Header: header, Length: length}, maxAnswerHeadBytes)
+}
+
+// Write implements runner.Sink.
+func (s *streamSink) Write(p []byte) (int, error) {
+	n := 0
+	for len(p) > 0 {
+		part := p[:min(len(p), chunkBytes)]
+		if err := s.chunk(part); err != nil {
+			return n, err
+		}
+		n += len(part)
+		p = p[len(part):]
+	}
+	return n, nil
+}
+
+func (s *streamSink) chunk(p []byte) error {
+	var length [lengthBytes]byte
+	binary.BigEndian.PutUint32(length[:], uint32(len(p)))
+	if _, err := s.w.Write(length[:]); err != nil {
+		return err
+	}
+	_, err := s.w.Write(p)
+	return err
+}
+
+// Flush implements runner.Sink.
+func (s *streamSink) Flush() error { return s.w.Flush() }
+
+// finish marks the answer as complete.
+func (s *streamSink) finish() error {
+	return errors.Join(s.chunk(nil), s.w.Flush())
+}
+
+// UnreachableError reports that there is no link to a host.
+type UnreachableError struct{ Host ident.HostID }
+
+// Error implements error.
+func (e *UnreachableError) Error() string { return "no link to host " + string(e.Host) }
--- /dev/null
+++ b/sardined/peer/wire.go
@@ -0,0 +1,473 @@
+package peer
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"sardinecross.example/lib/common/ident"
+	"sardinecross.example/lib/core"
+	"sardinecross.example/lib/lease"
+	"sardinecross.example/lib/member"
+)
+
+const (
+	// wireVersion changes with every change that older hosts cannot read; new fields are not such a change.
+	wireVersion = 1
+	// maxMessageBytes bounds a message; the largest one carries the whole configuration.
+	maxMessageBytes = 1 << 20
+	lengthBytes     = 4
+	// maxElements bounds the lists within a message; a message has at most one line for each upstream.
+	maxElements = 16384
+)
+
+var (
+	encMode = mustEncMode()
+	decMode = mustDecMode()
+)
+
+func mustEncMode() cbor.EncMode {
+	m, err := cbor.EncOptions{}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func mustDecMode() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		MaxNestedLevels:  8,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// wireHello is the first message of a message stream.
+type wireHello struct {
+	Version     int               `cbor:"1,keyasint"`
+	Incarnation ident.Incarnation `cbor:"2,keyasint"`
+}
+
+// wireMessage has exactly one field. Map keys are small numbers, since heartbeats are most of the traffic between hosts.
+type wireMessage struct {
+	Heartbeat   *wireHeartbeat   `cbor:"1,keyasint,omitempty"`
+	SlotRequest *wireSlotRequest `cbor:"2,keyasint,omitempty"`
+	SlotGrant   *wireSlotGrant   `cbor:"3,keyasint,omitempty"`
+	Handoff     *wireHandoff     `cbor:"4,keyasint,omitempty"`
+	ConfRequest *wireConfRequest `cbor:"5,keyasint,omitempty"`
+	ConfRecords *wireConfRecords `cbor:"6,keyasint,omitempty"`
+}
+
+type wireHeartbeat struct {
+	Seq         uint64            `cbor:"1,keyasint"`
+	Echo        uint64            `cbor:"2,keyasint"`
+	To          ident.Incarnation `cbor:"3,keyasint,omitempty"`
+	DataCentre  ident.DataCentre  `cbor:"4,keyasint"`
+	Leaving     bool              `cbor:"5,keyasint,omitempty"`
+	ConfVersion int64             `cbor:"6,keyasint"`
+	ConfAge     time.Duration     `cbor:"7,keyasint"`
+	LogAnswers  bool              `cbor:"8,keyasint,omitempty"`
+	Pledges     []wirePledge      `cbor:"9,keyasint,omitempty"`
+}
+
+type wirePledge struct {
+	Upstream ident.UpstreamID  `cbor:"1,keyasint"`
+	Previous ident.Incarnation `cbor:"2,keyasint,omitempty"`
+	Handoff  uint64            `cbor:"3,keyasint,omitempty"`
+	Wait     time.Duration     `cbor:"4,keyasint,omitempty"`
+}
+
+type wireSlotRequest struct {
+	Owner     ident.Incarnation `cbor:"1,keyasint"`
+	Seq       uint64            `cbor:"2,keyasint"`
+	SentAt    time.Duration     `cbor:"3,keyasint"`
+	Upstreams []wireDemand      `cbor:"4,keyasint"`
+}
+
+type wireDemand struct {
+	Upstream  ident.UpstreamID `cbor:"1,keyasint"`
+	Epoch     uint64           `cbor:"2,keyasint,omitempty"`
+	Want      int              `cbor:"3,keyasint,omitempty"`
+	Held      int              `cbor:"4,keyasint,omitempty"`
+	Seen      uint64           `cbor:"5,keyasint,omitempty"`
+	Conns     int              `cbor:"6,keyasint,omitempty"`
+	Completed uint64           `cbor:"7,keyasint,omitempty"`
+	NewConns  uint64           `cbor:"8,keyasint,omitempty"`
+	Signals   uint64           `cbor:"9,keyasint,omitempty"`
+	Draining  bool             `cbor:"10,keyasint,omitempty"`
+}
+
+type wireSlotGrant struct {
+	Holder    ident.Incarnation `cbor:"1,keyasint"`
+	Seq       uint64            `cbor:"2,keyasint"`
+	Upstreams []wireAllowance   `cbor:"3,keyasint"`
+}
+
+type wireAllowance struct {
+	Upstream ident.UpstreamID `cbor:"1,keyasint"`
+	Epoch    uint64           `cbor:"2,keyasint,omitempty"`
+	SentAt   time.Duration    `cbor:"3,keyasint,omitempty"`
+	Total    uint64           `cbor:"4,keyasint,omitempty"`
+	Keep     int              `cbor:"5,keyasint,omitempty"`
+	Void     bool             `cbor:"6,keyasint,omitempty"`
+}
+
+type wireHandoff struct {
+	After     uint64         `cbor:"1,keyasint"`
+	Upstreams []wireTransfer `cbor:"2,keyasint"`
+}
+
+type wireTransfer struct {
+	Upstream    ident.UpstreamID  `cbor:"1,keyasint"`
+	Seq         uint64            `cbor:"2,keyasint,omitempty"`
+	Limit       int               `cbor:"3,keyasint,omitempty"`
+	Budget      time.Duration     `cbor:"4,keyasint,omitempty"`
+	Wait        time.Duration     `cbor:"5,keyasint,omitempty"`
+	Outstanding []wireOutstanding `cbor:"6,keyasint,omitempty"`
+}
+
+type wireOutstanding struct {
+	Host        ident.HostID      `cbor:"1,keyasint"`
+	Incarnation ident.Incarnation `cbor:"2,keyasint"`
+	Epoch       uint64            `cbor:"3,keyasint,omitempty"`
+	Slots       int               `cbor:"4,keyasint,omitempty"`
+	For         time.Duration     `cbor:"5,keyasint,omitempty"`
+}
+
+type wireConfRequest struct {
+	From int64 `cbor:"1,keyasint"`
+}
+
+type wireConfRecords struct {
+	Version    int64  `cbor:"1,keyasint"`
+	Checkpoint []byte `cbor:"2,keyasint"`
+}
+
+// encodeMessage appends a message with its length to buf.
+func encodeMessage(buf []byte, m core.Message) ([]byte, error) {
+	body, err := encMode.Marshal(toWire(m))
+	if err != nil {
+		return buf, &MessageError{Err: err}
+	}
+	if len(body) > maxMessageBytes {
+		return buf, &SizeError{Size: len(body), Limit: maxMessageBytes}
+	}
+	buf = binary.BigEndian.AppendUint32(buf, uint32(len(body)))
+	return append(buf, body...), nil
+}
+
+// decodeMessage decodes and checks a message.
+func decodeMessage(body []byte) (core.Message, error) {
+	var w wireMessage
+	if err := decMode.Unmarshal(body, &w); err != nil {
+		return core.Message{}, &MessageError{Err: err}
+	}
+	if err := w.check(); err != nil {
+		return core.Message{}, &MessageError{Err: err}
+	}
+	return fromWire(w), nil
+}
+
+// writeFrame writes a value with its length.
+func writeFrame(w io.Writer, v any, limit int) error {
+	body, err := encMode.Marshal(v)
+	if err != nil {
+		return &MessageError{Err: err}
+	}
+	if len(body) > limit {
+		return &SizeError{Size: len(body), Limit: limit}
+	}
+	buf := binary.BigEndian.AppendUint32(make([]byte, 0, lengthBytes+len(body)), uint32(len(body)))
+	_, err = w.Write(append(buf, body...))
+	return err
+}
+
+// readFrame reads a length and as many bytes, into buf if it is large enough.
+func readFrame(r io.Reader, buf []byte, limit int) ([]byte, error) {
+	var length [lengthBytes]byte
+	if _, err := io.ReadFull(r, length[:]); err != nil {
+		return nil, err
+	}
+	n := int(binary.BigEndian.Uint32(length[:]))
+	if n > limit {
+		return nil, &SizeError{Size: n, Limit: limit}
+	}
+	if cap(buf) < n {
+		buf = make([]byte, n)
+	}
+	buf = buf[:n]
+	_, err := io.ReadFull(r, buf)
+	return buf, err
+}
+
+// check reports messages that no host sends.
+func (w wireMessage) check() error {
+	n := 0
+	for _, set := range []bool{
+		w.Heartbeat != nil, w.SlotRequest != nil, w.SlotGrant != nil,
+		w.Handoff != nil, w.ConfRequest != nil, w.ConfRecords != nil,
+	} {
+		if set {
+			n++
+		}
+	}
+	if n != 1 {
+		return &KindError{Kinds: n}
+	}
+	switch {
+	case w.Heartbeat != nil:
+		return w.Heartbeat.check()
+	case w.SlotRequest != nil:
+		return w.SlotRequest.check()
+	case w.SlotGrant != nil:
+		return w.SlotGrant.check()
+	case w.Handoff != nil:
+		return w.Handoff.check()
+	case w.ConfRequest != nil:
+		return notNegative("from", w.ConfRequest.From)
+	}
+	return notNegative("version", w.ConfRecords.Version)
+}
+
+func (w *wireHeartbeat) check() error {
+	for _, p := range w.Pledges {
+		if err := notNegative("wait", p.Wait); err != nil {
+			return err
+		}
+	}
+	return notNegative("confVersion", w.ConfVersion)
+}
+
+func (w *wireSlotRequest) check() error {
+	for _, d := range w.Upstreams {
+		if err := notNegative("demand", d.Want, d.Held, d.Conns); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *wireSlotGrant) check() error {
+	for _, a := range w.Upstreams {
+		if err := notNegative("keep", a.Keep); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *wireHandoff) check() error {
+	for _, t := range w.Upstreams {
+		if err := errors.Join(notNegative("limit", t.Limit), notNegative("wait", t.Wait)); err != nil {
+			return err
+		}
+		for _, o := range t.Outstanding {
+			if err := errors.Join(notNegative("slots", o.Slots), notNegative("for", o.For)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func notNegative[T int | int64 | time.Duration](field string, values ...T) error {
+	for _, v := range values {
+		if v < 0 {
+			return &RangeError{Field: field, Value: int64(v)}
+		}
+	}
+	return nil
+}
+
+func toWire(m core.Message) wireMessage {
+	var w wireMessage
+	switch {
+	case m.Heartbeat != nil:
+		w.Heartbeat = toWireHeartbeat(m.Heartbeat)
+	case m.SlotRequest != nil:
+		w.SlotRequest = &wireSlotRequest{
+			Owner:     m.SlotRequest.Owner,
+			Seq:       m.SlotRequest.Seq,
+			SentAt:    m.SlotRequest.SentAt,
+			Upstreams: each(m.SlotRequest.Upstreams, toWireDemand),
+		}
+	case m.SlotGrant != nil:
+		w.SlotGrant = &wireSlotGrant{
+			Holder:    m.SlotGrant.Holder,
+			Seq:       m.SlotGrant.Seq,
+			Upstreams: each(m.SlotGrant.Upstreams, func(a lease.Allowance) wireAllowance { return wireAllowance(a) }),
+		}
+	case m.Handoff != nil:
+		w.Handoff = &wireHandoff{After: m.Handoff.After, Upstreams: each(m.Handoff.Upstreams, toWireTransfer)}
+	case m.ConfRequest != nil:
+		w.ConfRequest = &wireConfRequest{From: m.ConfRequest.From}
+	case m.ConfRecords != nil:
+		w.ConfRecords = &wireConfRecords{Version: m.ConfRecords.Version, Checkpoint: m.ConfRecords.Checkpoint}
+	}
+	return w
+}
+
+func fromWire(w wireMessage) core.Message {
+	var m core.Message
+	switch {
+	case w.Heartbeat != nil:
+		m.Heartbeat = fromWireHeartbeat(w.Heartbeat)
+	case w.SlotRequest != nil:
+		m.SlotRequest = &lease.Request{
+			Owner:     w.SlotRequest.Owner,
+			Seq:       w.SlotRequest.Seq,
+			SentAt:    w.SlotRequest.SentAt,
+			Upstreams: each(w.SlotRequest.Upstreams, fromWireDemand),
+		}
+	case w.SlotGrant != nil:
+		m.SlotGrant = &lease.Grant{
+			Holder:    w.SlotGrant.Holder,
+			Seq:       w.SlotGrant.Seq,
+			Upstreams: each(w.SlotGrant.Upstreams, func(a wireAllowance) lease.Allowance { return lease.Allowance(a) }),
+		}
+	case w.Handoff != nil:
+		m.Handoff = &lease.Handoff{After: w.Handoff.After, Upstreams: each(w.Handoff.Upstreams, fromWireTransfer)}
+	case w.ConfRequest != nil:
+		m.ConfRequest = &core.ConfRequest{From: w.ConfRequest.From}
+	case w.ConfRecords != nil:
+		m.ConfRecords = &core.ConfRecords{Version: w.ConfRecords.Version, Checkpoint: w.ConfRecords.Checkpoint}
+	}
+	return m
+}
+
+func toWireHeartbeat(h *member.Heartbeat) *wireHeartbeat {
+	return &wireHeartbeat{
+		Seq:         h.Seq,
+		Echo:        h.Echo,
+		To:          h.To,
+		DataCentre:  h.DataCentre,
+		Leaving:     h.Leaving,
+		ConfVersion: h.ConfVersion,
+		ConfAge:     h.ConfAge,
+		LogAnswers:  h.LogAnswers,
+		Pledges:     each(h.Pledges, func(p member.Pledge) wirePledge { return wirePledge(p) }),
+	}
+}
+
+func fromWireHeartbeat(w *wireHeartbeat) *member.Heartbeat {
+	return &member.Heartbeat{
+		Seq:         w.Seq,
+		Echo:        w.Echo,
+		To:          w.To,
+		DataCentre:  w.DataCentre,
+		Leaving:     w.Leaving,
+		ConfVersion: w.ConfVersion,
+		ConfAge:     w.ConfAge,
+		LogAnswers:  w.LogAnswers,
+		Pledges:     each(w.Pledges, func(p wirePledge) member.Pledge { return member.Pledge(p) }),
+	}
+}
+
+func toWireDemand(d lease.Demand) wireDemand {
+	return wireDemand{
+		Upstream:  d.Upstream,
+		Epoch:     d.Epoch,
+		Want:      d.Want,
+		Held:      d.Held,
+		Seen:      d.Seen,
+		Conns:     d.Conns,
+		Completed: d.Report.Completed,
+		NewConns:  d.Report.NewConns,
+		Signals:   d.Report.Signals,
+		Draining:  d.Report.Draining,
+	}
+}
+
+func fromWireDemand(w wireDemand) lease.Demand {
+	return lease.Demand{
+		Upstream: w.Upstream,
+		Epoch:    w.Epoch,
+		Want:     w.Want,
+		Held:     w.Held,
+		Seen:     w.Seen,
+		Conns:    w.Conns,
+		Report: lease.Report{
+			Completed: w.Completed,
+			NewConns:  w.NewConns,
+			Signals:   w.Signals,
+			Draining:  w.Draining,
+		},
+	}
+}
+
+func toWireTransfer(t lease.Transfer) wireTransfer {
+	return wireTransfer{
+		Upstream:    t.Upstream,
+		Seq:         t.Seq,
+		Limit:       t.Limit,
+		Budget:      t.Budget,
+		Wait:        t.Wait,
+		Outstanding: each(t.Outstanding, func(o lease.Outstanding) wireOutstanding { return wireOutstanding(o) }),
+	}
+}
+
+func fromWireTransfer(w wireTransfer) lease.Transfer {
+	return lease.Transfer{
+		Upstream:    w.Upstream,
+		Seq:         w.Seq,
+		Limit:       w.Limit,
+		Budget:      w.Budget,
+		Wait:        w.Wait,
+		Outstanding: each(w.Outstanding, func(o wireOutstanding) lease.Outstanding { return lease.Outstanding(o) }),
+	}
+}
+
+// each converts the elements of a list; nil stays nil.
+func each[A, B any](list []A, f func(A) B) []B {
+	if list == nil {
+		return nil
+	}
+	out := make([]B, len(list))
+	for i, v := range list {
+		out[i] = f(v)
+	}
+	return out
+}
+
+// MessageError reports a message that cannot be encoded or decoded.
+type MessageError struct{ Err error }
+
+// Error implements error.
+func (e *MessageError) Error() string { return fmt.Sprintf("message between hosts: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *MessageError) Unwrap() error { return e.Err }
+
+// SizeError reports a message above its limit.
+type SizeError struct{ Size, Limit int }
+
+// Error implements error.
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("message of %d bytes exceeds the limit of %d", e.Size, e.Limit)
+}
+
+// KindError reports a message that is not of exactly one known kind.
+type KindError struct{ Kinds int }
+
+// Error implements error.
+func (e *KindError) Error() string { return fmt.Sprintf("message of %d known kinds", e.Kinds) }
+
+// RangeError reports a number that no host sends.
+type RangeError struct {
+	Field string
+	Value int64
+}
+
+// Error implements error.
+func (e *RangeError) Error() string { return fmt.Sprintf("%s is %d", e.Field, e.Value) }
--- /dev/null
+++ b/sardined/peer/wire_test.go
@@ -0,0 +1,162 @@
+package peer
+
+import (
+	"bytes"
+	"errors"
+	"reflect"
+	"testing"
+	"time"
+
+	"sardinecross.example/lib/core"
+	"sardinecross.example/lib/lease"
+	"sardinecross.example/lib/member"
+	"sardinecross.example/sardined/runner"
+)
+
+// messages has one message of each kind with every field set.
+func messages() []core.Message {
+	return []core.Message{
+		{Heartbeat: &member.Heartbeat{
+			Seq: 1, Echo: 2, To: 3, DataCentre: "passau", Leaving: true, ConfVersion: 4, ConfAge: -time.Second, LogAnswers: true,
+			Pledges: []member.Pledge{{Upstream: "u1", Previous: 5, Handoff: 6, Wait: 7}},
+		}},
+		{SlotRequest: &lease.Request{Owner: 1, Seq: 2, SentAt: 3, Upstreams: []lease.Demand{{
+			Upstream: "u1", Epoch: 1, Want: 2, Held: 3, Seen: 4, Conns: 5,
+			Report: lease.Report{Completed: 6, NewConns: 7, Signals: 8, Draining: true},
+		}}}},
+		{SlotGrant: &lease.Grant{Holder: 1, Seq: 2, Upstreams: []lease.Allowance{{
+			Upstream: "u1", Epoch: 1, SentAt: 2, Total: 3, Keep: 4, Void: true,
+		}}}},
+		{Handoff: &lease.Handoff{After: 1, Upstreams: []lease.Transfer{{
+			Upstream: "u1", Seq: 1, Limit: 2, Budget: -3, Wait: 4,
+			Outstanding: []lease.Outstanding{{Host: "h1", Incarnation: 1, Epoch: 2, Slots: 3, For: time.Second}},
+		}}}},
+		{ConfRequest: &core.ConfRequest{From: 1}},
+		{ConfRecords: &core.ConfRecords{Version: 1, Checkpoint: []byte("c")}},
+	}
+}
+
+// A field that is lost between hosts breaks the protocol without an error.
+func TestMessageRoundTrip(t *testing.T) {
+	for _, m := range messages() {
+		buf, err := encodeMessage(nil, m)
+		assertNoError(t, err)
+		body, err := readFrame(bytes.NewReader(buf), nil, maxMessageBytes)
+		assertNoError(t, err)
+		got, err := decodeMessage(body)
+		assertNoError(t, err)
+		if !reflect.DeepEqual(got, m) {
+			t.Errorf("got %+v, want %+v", got, m)
+		}
+		assertFilled(t, reflect.ValueOf(m))
+	}
+}
+
+// assertFilled fails if a field of the message is zero, so that new fields are not forgotten here.
+func assertFilled(t *testing.T, v reflect.Value) {
+	t.Helper()
+	switch v.Kind() {
+	case reflect.Pointer:
+		if !v.IsNil() {
+			assertFilled(t, v.Elem())
+		}
+	case reflect.Slice:
+		for i := range v.Len() {
+			assertFilled(t, v.Index(i))
+		}
+	case reflect.Struct:
+		for i := range v.NumField() {
+			if f := v.Field(i); f.IsZero() && f.Kind() != reflect.Pointer {
+				t.Errorf("%s.%s is not set", v.Type(), v.Type().Field(i).Name)
+			}
+			assertFilled(t, v.Field(i))
+		}
+	}
+}
+
+// Messages that no host sends must not reach the reducer.
+func TestInvalidMessages(t *testing.T) {
+	for name, w := range map[string]any{
+		"no kind":             wireMessage{},
+		"two kinds":           wireMessage{ConfRequest: &wireConfRequest{}, ConfRecords: &wireConfRecords{}},
+		"unknown kind":        map[int]int{99: 1},
+		"negative version":    wireMessage{Heartbeat: &wireHeartbeat{ConfVersion: -1}},
+		"negative held":       wireMessage{SlotRequest: &wireSlotRequest{Upstreams: []wireDemand{{Held: -1}}}},
+		"negative slots":      wireMessage{SlotGrant: &wireSlotGrant{Upstreams: []wireAllowance{{Keep: -1}}}},
+		"negative handoff":    wireMessage{Handoff: &wireHandoff{Upstreams: []wireTransfer{{Outstanding: []wireOutstanding{{For: -1}}}}}},
+		"negative checkpoint": wireMessage{ConfRecords: &wireConfRecords{Version: -1}},
+		"another type":        "text",
+	} {
+		t.Run(name, func(t *testing.T) {
+			body, err := encMode.Marshal(w)
+			assertNoError(t, err)
+			_, err = decodeMessage(body)
+			var me *MessageError
+			if !errors.As(err, &me) {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+	t.Run("cut short", func(t *testing.T) {
+		for _, m := range messages() {
+			buf, err := encodeMessage(nil, m)
+			assertNoError(t, err)
+			for n := lengthBytes; n < len(buf); n++ {
+				if _, err := decodeMessage(buf[lengthBytes:n]); err == nil {
+					t.Fatalf("%d bytes of %d accepted", n, len(buf))
+				}
+			}
+		}
+	})
+}
+
+func FuzzDecodeMessage(f *testing.F) {
+	for _, m := range messages() {
+		buf, err := encodeMessage(nil, m)
+		assertNoError(f, err)
+		f.Add(buf[lengthBytes:])
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		m, err := decodeMessage(body)
+		if err != nil {
+			return
+		}
+		buf, err := encodeMessage(nil, m)
+		assertNoError(t, err)
+		again, err := decodeMessage(buf[lengthBytes:])
+		if err != nil || !reflect.DeepEqual(toWire(again), toWire(m)) {
+			t.Errorf("%+v became %+v, error %v", m, again, err)
+		}
+	})
+}
+
+func FuzzDecodeRequestHead(f *testing.F) {
+	body, err := encMode.Marshal(wireRequest{Class: "orders", Timeout: time.Second, Method: "POST", Path: "/", BodyLength: 3})
+	assertNoError(f, err)
+	f.Add(body)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		head, err := decodeRequestHead(body, 100)
+		if err != nil {
+			return
+		}
+		if req := head.request(); len(req.Body) > 100 || req.Timeout <= 0 || !req.Relayed {
+			t.Errorf("accepted %+v", head)
+		}
+	})
+}
+
+func FuzzReceiveAnswer(f *testing.F) {
+	var whole bytes.Buffer
+	assertNoError(f, writeFrame(&whole, wireAnswer{Status: 200, Length: 1}, maxAnswerHeadBytes))
+	whole.Write([]byte{0, 0, 0, 1, 'x', 0, 0, 0, 0})
+	f.Add(whole.Bytes())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		sink := &recorder{}
+		passed, err := receiveAnswer(bytes.NewReader(data), sink)
+		if passed != (sink.status != 0) || err == nil && sink.status < 200 {
+			t.Errorf("passed %v, status %d, error %v", passed, sink.status, err)
+		}
+	})
+}
+
+var _ runner.Sink = (*recorder)(nil)
