--- a/lib/core/core.go
+++ b/lib/core/core.go
@@ -53,7 +53,7 @@
 }
 
 // guards names the rules that a test can switch off.
-type guards struct{ noRetryRule, noRunRule, noFreshRule, noOutRule, noTellOnce bool }
+type guards struct{ noRetryRule, noRunRule, noFreshRule, noOutRule bool }
 
 // leaving is the progress of a graceful shutdown.
 type leaving struct {
@@ -121,6 +121,8 @@
 	s.markReady()
 	s.dispatchDirty()
 	s.flushClaims()
+	s.pollPlatform()
+	s.sendHeartbeats()
 	s.flushSlots()
 	// A grant from this host to itself can free slots for requests that wait.
 	if s.markReady() {
@@ -191,9 +193,16 @@
 	if s.leaving.begun && !s.leaving.stopped && s.now < s.leaving.until {
 		wake = min(wake, s.leaving.until)
 	}
+	if wake <= s.now {
+		return s.now + wakeFloor
+	}
 	return wake
 }
 
+// wakeFloor is the delay of a Tick that is due already. Every step handles what is due at its time, so a time in the past
+// is a fault of a sub-state, which must not keep the runner busy.
+const wakeFloor = time.Millisecond
+
 // stop begins a graceful shutdown: callers are sent elsewhere at once, and those that still arrive are served
 // until every address given out and every deadline has passed.
 func (s *State) stop() {
--- a/lib/core/dispatch.go
+++ b/lib/core/dispatch.go
@@ -128,7 +128,7 @@
 		s.fresh = append(s.fresh, cand)
 	}
 	candidates := s.fresh
-	if len(candidates) == 0 && !hedge {
+	if len(candidates) == 0 && !hedge && s.mayReturn(c, r) {
 		candidates = s.tried
 	}
 	if len(candidates) == 0 {
@@ -137,6 +137,12 @@
 	return s.topo.upstreams[candidates[w.Pick(candidates, s.rand())].Upstream]
 }
 
+// mayReturn reports whether a retry may go to an upstream that failed it: there is no other, or the owners of the others had
+// the time of a round trip to grant a slot.
+func (s *State) mayReturn(c *class, r *request) bool {
+	return c.service.usable <= len(r.attempts) || s.now-r.queuedAt >= recheckInterval
+}
+
 // spills reports whether a request may leave the own data centre: there is no usable upstream, or the wait for a local slot, with the
 // time to answer, would exceed the target of the class.
 func (s *State) spills(c *class, r *request) bool {
@@ -172,7 +178,7 @@
 // configuration is known to be in force, neither the upstream nor its data centre is taken out of service, the book
 // allows the request to run, and the slot's lease is valid.
 func (s *State) start(r *request, u *upstream) bool {
-	if !s.inService() || !u.usable() && !s.guards.noOutRule {
+	if !s.inService() || !u.usable() {
 		return false
 	}
 	if r.started && !s.book.MayStart(s.now, r.ID) {
@@ -204,7 +210,7 @@
 	if need == 0 && !svc.wanting && !inUse {
 		return
 	}
-	waited, spill := s.pressure(svc)
+	head, waited, spill := s.pressure(svc)
 	spread := need << min(waited/recheckInterval, 4)
 	if need == 0 && inUse && !s.anyFree(svc) {
 		need, spread = 1, 1
@@ -225,26 +231,29 @@
 			continue
 		}
 		if zones == 0 {
-			s.wantIn(svc, z, 0, 0)
+			s.wantIn(svc, z, head, 0, 0)
 			continue
 		}
 		zones--
-		s.wantIn(svc, z, need, spread)
+		s.wantIn(svc, z, head, need, spread)
 	}
 }
 
-// pressure returns how long the first waiting request has waited and whether any may leave the own data centre.
-func (s *State) pressure(svc *service) (waited time.Duration, spill bool) {
+// pressure returns the request that has waited longest among the first ones of the classes, its wait, and whether any of them may leave
+// the own data centre.
+func (s *State) pressure(svc *service) (first *request, waited time.Duration, spill bool) {
 	for _, c := range svc.classes {
 		head := c.policy.Queue.Head()
 		if head == nil {
 			continue
 		}
 		r := s.requests[head.ID]
-		waited = max(waited, s.now-r.queuedAt)
+		if first == nil || s.now-r.queuedAt > waited {
+			first, waited = r, s.now-r.queuedAt
+		}
 		spill = spill || s.spills(c, r)
 	}
-	return waited, spill && len(svc.zones[0].upstreams) > 0
+	return first, waited, spill && len(svc.zones[0].upstreams) > 0
 }
 
 func (s *State) anyFree(svc *service) bool {
@@ -259,8 +268,9 @@
 }
 
 // wantIn spreads a number of wanted slots over some upstreams of a zone, each of which is asked for its part. An ejected
-// upstream is asked for one slot when its trial is due.
-func (s *State) wantIn(svc *service, z *zone, need, spread int) {
+// upstream is asked for one slot when its trial is due. Upstreams that failed the first waiting request are not asked while there
+// are others.
+func (s *State) wantIn(svc *service, z *zone, head *request, need, spread int) {
 	n := len(z.upstreams)
 	left := min(spread, n)
 	each := 0
@@ -274,6 +284,7 @@
 		switch {
 		case trial:
 			want = 1
+		case head != nil && head.triedAt(u) && svc.usable > len(head.attempts):
 		case !ejected && left > 0:
 			want = each
 			left--
--- a/lib/core/helper_test.go
+++ b/lib/core/helper_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"sardinecross.example/lib/common/ident"
 	"sardinecross.example/lib/conf"
+	"sardinecross.example/lib/lease"
+	"sardinecross.example/lib/member"
 )
 
 const (
@@ -30,8 +33,10 @@
 	rnd     uint64
 	entries []HostEntry
 	streams map[Stream][]Record
-	// logDown makes reads and appends fail.
-	logDown bool
+	// logDown makes reads and appends fail; lost makes appends take effect without an answer.
+	logDown, lost bool
+	// peers are other hosts that answer heartbeats and grant every slot they are asked for.
+	peers map[ident.HostID]*peerHost
 	// effects are those since the last call of take, without those of the platform and peers.
 	effects []Effect
 	nextID  ident.RequestID
@@ -59,8 +64,12 @@
 
 // newHost returns a host with upstreams u0, u1, .. that has run until it can serve.
 func newHost(t failer, upstreams int) *host {
+	return newHostWith(t, testSettings(), upstreams)
+}
+
+func newHostWith(t failer, cfg Settings, upstreams int) *host {
 	h := &host{
-		t: t, s: New(testSettings()), streams: map[Stream][]Record{}, version: map[conf.Item]int64{}, nextID: 1,
+		t: t, s: New(cfg), streams: map[Stream][]Record{}, version: map[conf.Item]int64{}, nextID: 1,
 	}
 	h.entries = append(h.entries, HostEntry{
 		ID: "passau-1", Role: RoleHost, DataCentre: "passau", Address: "127.0.1.1:80", PeerAddress: "127.0.1.1:90",
@@ -83,6 +92,50 @@
 	}
 }
 
+// peerHost stands for another host.
+type peerHost struct {
+	entry HostEntry
+	inc   ident.Incarnation
+	seq   uint64
+}
+
+// addPeer lists another host.
+func (h *host) addPeer(id string, dc ident.DataCentre) {
+	n := len(h.peers) + 1
+	p := &peerHost{
+		entry: HostEntry{ID: id, Role: RoleHost, DataCentre: dc, Address: id + ":80", PeerAddress: id + ":90"},
+		inc:   ident.Incarnation(1000 + n),
+	}
+	if h.peers == nil {
+		h.peers = map[ident.HostID]*peerHost{}
+	}
+	h.peers[ident.HostID(id)] = p
+	h.entries = append(slices.Clone(h.entries), p.entry)
+}
+
+func (p *peerHost) answer(h *host, m Message) {
+	p.seq++
+	send := func(m Message) {
+		h.step(PeerMessage{From: ident.HostID(p.entry.ID), Incarnation: p.inc, Message: m})
+	}
+	switch {
+	case m.Heartbeat != nil:
+		send(Message{Heartbeat: &member.Heartbeat{
+			Seq: p.seq, Echo: m.Heartbeat.Seq, To: h.s.cfg.Incarnation, DataCentre: p.entry.DataCentre,
+			ConfVersion: m.Heartbeat.ConfVersion, ConfAge: -1,
+		}})
+	case m.SlotRequest != nil:
+		g := &lease.Grant{Holder: h.s.cfg.Incarnation, Seq: p.seq}
+		for _, d := range m.SlotRequest.Upstreams {
+			g.Upstreams = append(g.Upstreams, lease.Allowance{
+				Upstream: d.Upstream, Epoch: d.Epoch, SentAt: m.SlotRequest.SentAt,
+				Total: d.Seen + uint64(d.Want), Keep: d.Held + d.Want,
+			})
+		}
+		send(Message{SlotGrant: g})
+	}
+}
+
 // publish appends a proposal that will be accepted.
 func (h *host) publish(item conf.Item, value conf.Value) {
 	h.t.Helper()
@@ -130,8 +183,12 @@
 			return
 		}
 		offset := h.add(e.Stream, e.Data)
-		h.step(AppendEnded{Stream: e.Stream, AppendID: e.AppendID, Answered: true, Offset: offset})
-	case SendPeer, Peers, Notice:
+		h.step(AppendEnded{Stream: e.Stream, AppendID: e.AppendID, Answered: !h.lost, Offset: offset})
+	case SendPeer:
+		if p := h.peers[e.To]; p != nil {
+			p.answer(h, e.Message)
+		}
+	case Peers, Notice:
 	default:
 		h.effects = append(h.effects, e)
 	}
@@ -195,6 +252,18 @@
 	h.end(id, attempt, OutcomeComplete)
 }
 
+// warm serves enough requests that limits have risen and late attempts are hedged.
+func (h *host) warm() {
+	for range 2 * minWarm {
+		h.serve(h.arrive(RequestArrived{Class: "enquiry"}), 1)
+		h.now += ms
+	}
+	h.take()
+}
+
+// minWarm is more than the number of answers before the first hedge.
+const minWarm = 60
+
 // only returns the one effect since the last call of take, which must be of type E.
 func only[E Effect](t testing.TB, h *host) E {
 	t.Helper()
--- a/lib/core/refuse.go
+++ b/lib/core/refuse.go
@@ -30,8 +30,9 @@
 var refusals = map[Reason]refusal{
 	// The class is not in the configuration.
 	ReasonUnknownClass: {maybeNo, 0},
-	// The host cannot know whether its configuration is in force.
-	ReasonConfigStale: {maybeNo, 100 * time.Millisecond},
+	// The host cannot know whether its configuration is in force, nor, without the class, what became of an earlier
+	// request with the same ID or key.
+	ReasonConfigStale: {maybeNo | maybeUnknown, 100 * time.Millisecond},
 	// The request would wait longer than its deadline allows.
 	ReasonQueueFull: {maybeNo, 50 * time.Millisecond},
 	// No upstream of the service is listed and in service.
@@ -83,14 +84,14 @@
 }
 
 // refuseUnqueued answers a request that left no state.
-func (s *State) refuseUnqueued(ev RequestArrived, reason Reason) {
-	s.emit(Refuse{ID: ev.ID, Reason: reason, Run: RunNo, RetryAfter: refusals[reason].retryAfter})
+func (s *State) refuseUnqueued(ev RequestArrived, reason Reason, run Run) {
+	s.emit(Refuse{ID: ev.ID, Reason: reason, Run: run, RetryAfter: refusals[reason].retryAfter})
 	s.countRefusal(ev.Class, reason)
 }
 
 // tell reports whether the caller may be answered now, which is so exactly once for each request.
 func (s *State) tell(r *request) bool {
-	if r.gone || r.told && !s.guards.noTellOnce {
+	if r.gone || r.told {
 		return false
 	}
 	r.told = true
@@ -160,17 +161,18 @@
 
 // issue answers IDWanted.
 func (s *State) issue(ev IDWanted) {
+	request := RequestArrived{ID: ev.ID, Class: ev.Class}
 	switch {
 	case s.leaving.begun:
-		s.refuseUnqueued(RequestArrived{ID: ev.ID, Class: ev.Class}, ReasonStopping)
+		s.refuseUnqueued(request, ReasonStopping, RunNo)
 		return
 	case s.topo.classes[ev.Class] == nil:
-		s.refuseUnqueued(RequestArrived{ID: ev.ID, Class: ev.Class}, ReasonUnknownClass)
+		s.refuseUnknownClass(request)
 		return
 	}
 	token, err := s.book.Issue(s.now, s.rand(), ev.Class)
 	if err != nil {
-		s.refuseUnqueued(RequestArrived{ID: ev.ID, Class: ev.Class}, ReasonTableFull)
+		s.refuseUnqueued(request, ReasonTableFull, RunNo)
 		return
 	}
 	s.emit(IDIssued{ID: ev.ID, Token: token.Text, ValidFor: token.ValidFor})
--- /dev/null
+++ b/lib/core/refuse_test.go
@@ -0,0 +1,217 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"sardinecross.example/lib/common/ident"
+	"sardinecross.example/lib/conf"
+)
+
+// silentHosts makes the host depend on the log for a fresh configuration.
+func (h *host) silentHosts() {
+	for _, id := range []string{"landshut-1", "landshut-2"} {
+		h.entries = append(h.entries, HostEntry{ID: id, Role: RoleHost, DataCentre: "landshut"})
+	}
+	h.run(300 * ms)
+}
+
+// issue returns a new request ID.
+func (h *host) issue(t testing.TB) string {
+	t.Helper()
+	h.nextID++
+	h.step(IDWanted{ID: h.nextID, Class: "orders"})
+	return only[IDIssued](t, h).Token
+}
+
+// Guards against a refusal that is missing, has another reason, or says more than the host knows about the execution.
+func TestRefusals(t *testing.T) {
+	orders := RequestArrived{Class: "orders"}
+	fail := func(ev RequestArrived, o Outcome) func(*testing.T, *host) {
+		return func(t *testing.T, h *host) {
+			id := h.arrive(ev)
+			only[StartAttempt](t, h)
+			h.end(id, 1, o)
+		}
+	}
+	tests := map[string]struct {
+		act    func(*testing.T, *host)
+		reason Reason
+		run    Run
+	}{
+		"stale": {func(_ *testing.T, h *host) {
+			h.silentHosts()
+			h.logDown = true
+			h.run(4 * time.Second)
+			h.arrive(orders)
+		}, ReasonConfigStale, RunNo},
+		"resumed": {func(_ *testing.T, h *host) {
+			h.silentHosts()
+			h.now += 10 * time.Second
+			h.arrive(orders)
+		}, ReasonConfigStale, RunNo},
+		"no upstream in service": {func(_ *testing.T, h *host) {
+			h.publish(conf.UpstreamItem("u0"), conf.Value{Out: true})
+			h.run(300 * ms)
+			h.arrive(orders)
+		}, ReasonNoCapacity, RunNo},
+		"no data centre in service": {func(_ *testing.T, h *host) {
+			h.publish(conf.DataCentreItem("passau"), conf.Value{Out: true})
+			h.run(300 * ms)
+			h.arrive(orders)
+		}, ReasonNoCapacity, RunNo},
+		"waited too long": {func(t *testing.T, h *host) {
+			h.arrive(orders)
+			only[StartAttempt](t, h)
+			h.arrive(orders)
+			h.run(2 * time.Second)
+		}, ReasonDeadline, RunNo},
+		"queue too long": {func(t *testing.T, h *host) {
+			h.s.topo.classes["orders"].policy.Observe(400 * ms)
+			for range 3 {
+				h.arrive(orders)
+			}
+			only[StartAttempt](t, h)
+			h.arrive(orders)
+		}, ReasonQueueFull, RunNo},
+		"deadline in the attempt":       {fail(orders, OutcomeDeadline), ReasonDeadline, RunUnknown},
+		"reset":                         {fail(orders, OutcomeReset), ReasonUpstreamFailed, RunUnknown},
+		"crossed answer":                {fail(orders, OutcomeMismatched), ReasonUpstreamFailed, RunUnknown},
+		"shed below another call":       {fail(RequestArrived{Class: "orders", Depth: 1}, OutcomeShed), ReasonUpstreamFailed, RunNo},
+		"reset of a consultation below": {fail(RequestArrived{Class: "enquiry", Depth: 1}, OutcomeReset), ReasonUpstreamFailed, RunUnknown},
+		"unknown ID": {func(_ *testing.T, h *host) {
+			h.arrive(RequestArrived{Class: "orders", Token: "x"})
+		}, ReasonUnknownToken, RunNo},
+		"expired ID": {func(t *testing.T, h *host) {
+			token := h.issue(t)
+			h.run(3 * time.Minute)
+			h.arrive(RequestArrived{Class: "orders", Token: token})
+		}, ReasonExpiredToken, RunUnknown},
+		"ID of a host that is gone": {func(t *testing.T, h *host) {
+			h.s.cfg.Incarnation = 9
+			other := New(h.s.cfg)
+			token, err := other.book.Issue(0, 1, "orders")
+			if err != nil {
+				t.Fatal(err)
+			}
+			h.arrive(RequestArrived{Class: "orders", Token: token.Text})
+		}, ReasonHostGone, RunUnknown},
+		"no log for a key": {func(_ *testing.T, h *host) {
+			h.logDown = true
+			h.arrive(RequestArrived{Class: "orders", Key: "k"})
+			h.run(1500 * ms)
+		}, ReasonClaimFailed, RunNo},
+		"IDs of a leaving host": {func(_ *testing.T, h *host) {
+			h.step(StopRequested{})
+			h.step(IDWanted{ID: 99, Class: "orders"})
+		}, ReasonStopping, RunNo},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHost(t, 1)
+			test.act(t, h)
+			refused := only[Refuse](t, h)
+			if refused.Reason != test.reason || refused.Run != test.run {
+				t.Fatalf("refused with %s, run %s; want %s, run %s", refused.Reason, refused.Run, test.reason, test.run)
+			}
+			h.run(5 * time.Second)
+			for _, e := range h.take() {
+				if e, ok := e.(Refuse); ok && e.ID == refused.ID {
+					t.Errorf("refused again with %s", e.Reason)
+				}
+			}
+		})
+	}
+}
+
+// Guards against more issued IDs than the limit, which would exhaust the memory of a host without a disk.
+func TestIDLimit(t *testing.T) {
+	cfg := testSettings()
+	cfg.Limits.RequestIDs = 1
+	h := newHostWith(t, cfg, 1)
+	h.issue(t)
+	h.step(IDWanted{ID: 99, Class: "orders"})
+	assertRefused(t, h, ReasonTableFull, RunNo)
+}
+
+// Guards against a reason without a row, whose refusals would be reported as another one.
+func TestEveryReasonHasARow(t *testing.T) {
+	h := newHost(t, 1)
+	r := &request{className: "orders"}
+	for reason, row := range refusals {
+		for _, run := range []Run{RunNo, RunUnknown, RunYes} {
+			if got, said := h.s.permit(r, reason, run); row.runs.has(run) && (got != reason || said != run) {
+				t.Errorf("%s with run %s became %s with run %s", reason, run, got, said)
+			}
+		}
+	}
+	r.attempts = []attempt{{outcome: OutcomeReset}}
+	for reason := range refusals {
+		if _, run := h.s.permit(r, reason, RunNo); run == RunNo {
+			t.Errorf("%s says \"not run\" after a reset", reason)
+		}
+	}
+}
+
+// Guards against retries that run an order twice or multiply the load of a deep call tree.
+func TestRetries(t *testing.T) {
+	tests := []struct {
+		name    string
+		class   ident.ClassName
+		depth   int
+		outcome Outcome
+		retried bool
+	}{
+		{"order not sent", "orders", 0, OutcomeNotSent, true},
+		{"order shed", "orders", 0, OutcomeShed, true},
+		{"order shed below", "orders", 1, OutcomeShed, false},
+		{"order reset", "orders", 0, OutcomeReset, false},
+		{"order truncated", "orders", 0, OutcomeTruncated, false},
+		{"order late", "orders", 0, OutcomeDeadline, false},
+		{"consultation reset", "enquiry", 0, OutcomeReset, true},
+		{"consultation crossed", "enquiry", 0, OutcomeMismatched, true},
+		{"consultation reset below", "enquiry", 1, OutcomeReset, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHost(t, 2)
+			id := h.arrive(RequestArrived{Class: test.class, Depth: test.depth})
+			first := only[StartAttempt](t, h)
+			h.end(id, 1, test.outcome)
+			if !test.retried {
+				only[Refuse](t, h)
+				return
+			}
+			second := only[StartAttempt](t, h)
+			if second.Attempt != 2 || second.Upstream == first.Upstream {
+				t.Fatalf("got %+v after %+v", second, first)
+			}
+			h.serve(id, 2)
+			only[Deliver](t, h)
+		})
+	}
+}
+
+// Guards against retries without bound while every upstream fails.
+func TestRetryBudget(t *testing.T) {
+	h := newHost(t, 4)
+	started := 0
+	for range 300 {
+		id := h.arrive(RequestArrived{Class: "enquiry"})
+		for attempt := 1; ; attempt++ {
+			effects := h.take()
+			if len(effects) == 0 {
+				h.run(10 * ms)
+				effects = h.take()
+			}
+			if _, ok := effects[0].(StartAttempt); !ok {
+				break
+			}
+			started++
+			h.end(id, attempt, OutcomeTruncated)
+		}
+	}
+	if started > 300+32 {
+		t.Errorf("%d attempts for 300 requests", started)
+	}
+}
--- a/lib/core/request.go
+++ b/lib/core/request.go
@@ -86,32 +86,38 @@
 	return false
 }
 
-// arrive decides a request that was received.
+// arrive decides a request that was received. What the order book knows of an earlier request with the same ID or key
+// comes before every reason of this host's own, since that request may have run.
 func (s *State) arrive(ev RequestArrived) {
 	s.counters.Requests++
 	c := s.topo.classes[ev.Class]
-	switch {
-	case !s.inService():
-		s.refuseUnqueued(ev, ReasonConfigStale)
-		return
-	case c == nil:
-		s.refuseUnqueued(ev, ReasonUnknownClass)
+	if c == nil {
+		s.refuseUnknownClass(ev)
 		return
 	}
 	r := newRequest(ev, c, s.now)
-	if r.Deadline <= s.now {
-		s.refuseUnqueued(ev, ReasonDeadline)
-		return
-	}
 	s.requests[r.ID] = r
-	if !r.booked {
-		s.admit(r)
+	if r.booked {
+		s.applyOne(r, s.book.Begin(s.now, order.Request{
+			ID: ev.ID, Class: ev.Class, Token: ev.Token, Key: scopedKey(ev), Deadline: r.Deadline,
+			Retry: ev.Retry, Relayed: ev.Relayed,
+		}))
 		return
 	}
-	s.applyOne(r, s.book.Begin(s.now, order.Request{
-		ID: ev.ID, Class: ev.Class, Token: ev.Token, Key: scopedKey(ev), Deadline: r.Deadline,
-		Retry: ev.Retry, Relayed: ev.Relayed,
-	}))
+	s.admit(r)
+}
+
+// refuseUnknownClass refuses a request of a class that is not in the configuration. While that may be old, the class may exist and
+// an earlier request with the same ID or key may have run elsewhere.
+func (s *State) refuseUnknownClass(ev RequestArrived) {
+	switch {
+	case s.inService():
+		s.refuseUnqueued(ev, ReasonUnknownClass, RunNo)
+	case ev.Token != "" || ev.Key != "":
+		s.refuseUnqueued(ev, ReasonConfigStale, RunUnknown)
+	default:
+		s.refuseUnqueued(ev, ReasonConfigStale, RunNo)
+	}
 }
 
 // scopedKey returns the caller's key in the scope of its class and tenant, so that two tenants may choose the same one.
@@ -145,6 +151,10 @@
 // admit queues a request that may run, or refuses it if it cannot start in time.
 func (s *State) admit(r *request) {
 	svc := r.class.service
+	if reason, ok := s.expired(r); ok {
+		s.refuse(r, reason, RunNo)
+		return
+	}
 	switch {
 	case svc.usable == 0:
 		s.refuse(r, ReasonNoCapacity, RunNo)
--- a/lib/core/topology.go
+++ b/lib/core/topology.go
@@ -152,7 +152,7 @@
 func (s *State) rebuild() {
 	t := &s.topo
 	t.rebuildClasses()
-	t.rebuildUpstreams()
+	t.rebuildUpstreams(s.guards)
 	t.rebuildZones()
 	var units []lease.Upstream
 	for _, e := range t.entries {
@@ -221,7 +221,7 @@
 	}
 }
 
-func (t *topology) rebuildUpstreams() {
+func (t *topology) rebuildUpstreams(g guards) {
 	next := map[ident.UpstreamID]*upstream{}
 	clear(t.addresses)
 	for _, e := range t.entries {
@@ -239,7 +239,7 @@
 			u = &upstream{id: id, service: svc}
 		}
 		u.dataCentre, u.address, u.leaving = e.DataCentre, e.Address, e.Leaving
-		u.out = t.view.UpstreamOut(id) || t.view.DataCentreOut(e.DataCentre)
+		u.out = !g.noOutRule && (t.view.UpstreamOut(id) || t.view.DataCentreOut(e.DataCentre))
 		next[id] = u
 	}
 	t.upstreams = next
