--- a/lib/core/attempt.go
+++ b/lib/core/attempt.go
@@ -26,12 +26,13 @@
 		return
 	}
 	a.answered = true
+	a.failed = ev.Status >= http.StatusInternalServerError
 	s.sawIncarnation(a.upstream, ev.Incarnation)
 	s.observeHead(r, a, ev)
 	if r.delivered > 0 || r.ended || a.cancelled {
 		return
 	}
-	if ev.Status >= http.StatusInternalServerError && s.retryAnswer(r, ev.Attempt) {
+	if a.failed && s.retryAnswer(r) {
 		return
 	}
 	r.delivered = ev.Attempt
@@ -48,7 +49,7 @@
 // observeHead records the time to the head of an answer. A failure counts as a long answer.
 func (s *State) observeHead(r *request, a *attempt, ev AttemptAnswered) {
 	p := r.class.policy
-	if ev.Status >= http.StatusInternalServerError {
+	if a.failed {
 		p.Watch.ObserveFailure(a.upstream.id, ev.FirstByte)
 		return
 	}
@@ -60,7 +61,7 @@
 }
 
 // retryAnswer replaces an attempt that answered with a server error by another one, and reports whether it did.
-func (s *State) retryAnswer(r *request, n int) bool {
+func (s *State) retryAnswer(r *request) bool {
 	if r.gone || !r.idempotent || !s.mayRetry(r) || r.running() > 1 {
 		return false
 	}
@@ -141,12 +142,14 @@
 	u := a.upstream
 	p := r.class.policy
 	s.slots.End(s.now, u.id, lease.Ending{
-		Completed: ev.Outcome == OutcomeComplete,
+		Completed: ev.Outcome == OutcomeComplete && !a.failed,
 		NewConn:   ev.NewConn,
 	})
 	switch ev.Outcome {
 	case OutcomeComplete:
-		p.Observe(ev.Took)
+		if !a.failed {
+			p.Observe(ev.Took)
+		}
 	case OutcomeNotSent:
 		if ev.Refused {
 			p.Watch.ObserveFailure(u.id, ev.Took)
@@ -161,6 +164,9 @@
 	case OutcomeTruncated, OutcomeMismatched:
 		p.Watch.ObserveFailure(u.id, ev.Took)
 	case OutcomeDeadline, OutcomeCancelled:
+		if ev.Outcome == OutcomeDeadline {
+			p.Observe(ev.Took)
+		}
 		if !a.answered {
 			p.Watch.ObserveUnanswered(u.id, ev.Took)
 		}
--- /dev/null
+++ b/lib/core/peer_test.go
@@ -0,0 +1,109 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"sardinecross.example/lib/common/ident"
+	"sardinecross.example/lib/conf"
+	"sardinecross.example/lib/member"
+)
+
+// sent returns the messages that one event causes.
+func (h *host) sent(ev Event) (messages []SendPeer) {
+	h.observe = func(_ Event, effects []Effect) {
+		for _, e := range effects {
+			if e, ok := e.(SendPeer); ok {
+				messages = append(messages, e)
+			}
+		}
+	}
+	h.step(ev)
+	h.observe = nil
+	return messages
+}
+
+// Guards against hosts that stay on an old configuration while the log is unavailable, or go back to one.
+func TestConfigurationFromPeer(t *testing.T) {
+	newer, older := newHost(t, 1), newHost(t, 1)
+	newer.publish(conf.UpstreamItem("u0"), conf.Value{Out: true})
+	newer.run(300 * ms)
+	older.logDown = true
+	older.run(4 * time.Second)
+	from := ident.HostID("passau-2")
+	heartbeat := func(v int64) PeerMessage {
+		return PeerMessage{From: from, Incarnation: 8, Message: Message{Heartbeat: &member.Heartbeat{
+			Seq: uint64(v), To: 7, DataCentre: "passau", ConfVersion: v, ConfAge: -1,
+		}}}
+	}
+	request := older.sent(heartbeat(newer.s.conf.Version()))
+	if len(request) == 0 || request[0].Message.ConfRequest == nil {
+		t.Fatalf("got messages %+v, want a request for the configuration", request)
+	}
+	reply := newer.sent(PeerMessage{From: from, Incarnation: 8, Message: request[0].Message})
+	if len(reply) != 1 || reply[0].Message.ConfRecords == nil {
+		t.Fatalf("got messages %+v, want the configuration", reply)
+	}
+	answer := PeerMessage{From: from, Incarnation: 8, Message: reply[0].Message}
+	older.step(answer)
+	if !older.s.topo.upstreams["u0"].out {
+		t.Error("the configuration is not in force")
+	}
+	older.logDown = false
+	older.publish(conf.UpstreamItem("u0"), conf.Value{Out: true})
+	older.publish(conf.UpstreamItem("u0"), conf.Value{Out: false})
+	older.run(300 * ms)
+	older.step(answer)
+	if older.s.topo.upstreams["u0"].out {
+		t.Error("the configuration went back")
+	}
+}
+
+// Guards against a slow upstream that goes on to get normal work, or gets none to show that it recovered.
+func TestEjection(t *testing.T) {
+	h := newHost(t, 4)
+	h.warm()
+	at := map[ident.UpstreamID]int{}
+	for range 200 {
+		for range 10 {
+			h.arrive(RequestArrived{Class: "enquiry", Depth: 1})
+		}
+		h.run(20 * ms)
+		for _, e := range h.take() {
+			a, ok := e.(StartAttempt)
+			if !ok {
+				continue
+			}
+			at[a.Upstream]++
+			took := 4 * ms
+			if a.Upstream == "u2" {
+				took = 20 * ms
+			}
+			h.step(AttemptAnswered{ID: a.ID, Attempt: 1, Status: 200, FirstByte: took})
+			h.step(AttemptEnded{ID: a.ID, Attempt: 1, Outcome: OutcomeComplete, Took: took})
+		}
+	}
+	if n := at["u2"]; n < 4 || n > 30 {
+		t.Errorf("%d of 2000 requests in 4 s at the slow upstream, want one a second and a few before", n)
+	}
+	if h.s.Status().Counters.Ejections == 0 {
+		t.Error("no ejection")
+	}
+}
+
+// Guards against a server error that reaches the caller of a consultation while another upstream could answer.
+func TestServerError(t *testing.T) {
+	h := newHost(t, 2)
+	id := h.arrive(RequestArrived{Class: "enquiry"})
+	only[StartAttempt](t, h)
+	for attempt := 1; attempt < maxAttempts; attempt++ {
+		h.answered(id, attempt, 500)
+		effects := h.take()
+		if len(effects) != 2 || effects[0] != (CancelAttempt{ID: id, Attempt: attempt}) {
+			t.Fatalf("got %+v, want a cancellation and another attempt", effects)
+		}
+		h.end(id, attempt, OutcomeCancelled)
+	}
+	h.answered(id, maxAttempts, 500)
+	only[Deliver](t, h)
+}
--- a/lib/core/refuse.go
+++ b/lib/core/refuse.go
@@ -40,7 +40,7 @@
 	// The deadline passed: before any attempt, between two attempts, during one, or while another request with the
 	// same ID or key ran.
 	ReasonDeadline: {maybeNo | maybeUnknown | maybeYes, 0},
-	// The host shuts down and gives out no more request IDs.
+	// The host shuts down: it gives out no more request IDs, and nobody should call it any more.
 	ReasonStopping: {maybeNo, 0},
 	// The last attempt failed; every kind of failure is possible.
 	ReasonUpstreamFailed: {maybeNo | maybeUnknown | maybeYes, 50 * time.Millisecond},
--- a/lib/core/request.go
+++ b/lib/core/request.go
@@ -47,8 +47,8 @@
 	startedAt time.Duration
 	// deadline is the attempt's own; it is not after the request's.
 	deadline time.Duration
-	// answered reports that the head of the answer was read.
-	answered bool
+	// answered reports that the head of the answer was read, failed that it was a server error.
+	answered, failed bool
 	// cancelled reports that CancelAttempt was sent.
 	cancelled bool
 	// outcome is zero while the attempt runs.
@@ -129,7 +129,8 @@
 }
 
 // newRequest returns the state of a request. Its deadline is at most that of the class, which other hosts wait for
-// before they use the slots of a silent one again. The key of an idempotent request needs no claim.
+// before they use the slots of a silent one again. The ID or key of an idempotent request protects nothing, so it is not looked at:
+// such a request needs neither the log nor another host.
 func newRequest(ev RequestArrived, c *class, now time.Duration) *request {
 	deadline := now + c.def.Deadline
 	if ev.Deadline > 0 {
@@ -141,7 +142,7 @@
 		className:  ev.Class,
 		idempotent: c.def.Idempotent,
 		retriable:  ev.Replayable && ev.Depth == 0,
-		booked:     ev.Token != "" || ev.Key != "" && !c.def.Idempotent,
+		booked:     !c.def.Idempotent && (ev.Token != "" || ev.Key != ""),
 		queuedAt:   now,
 	}
 	r.attempts = r.first[:0]
@@ -156,10 +157,13 @@
 		return
 	}
 	switch {
+	case s.leaving.begun && s.now >= s.leaving.until:
+		s.refuse(r, ReasonStopping, RunNo)
+		return
 	case svc.usable == 0:
 		s.refuse(r, ReasonNoCapacity, RunNo)
 		return
-	case !r.class.policy.Admits(s.now, r.Deadline, s.slotsOf(svc)):
+	case r.class.policy.Queue.Len() > 0 && !r.class.policy.Admits(s.now, r.Deadline, s.slotsOf(svc)):
 		s.refuse(r, ReasonQueueFull, RunNo)
 		return
 	}
--- a/lib/core/topology.go
+++ b/lib/core/topology.go
@@ -16,9 +16,10 @@
 type topology struct {
 	cfg  Settings
 	view conf.View
-	// entries are those of the last reading, by ID; listedAt is the time at which the membership got them.
-	entries  []HostEntry
-	listedAt time.Duration
+	// reading is the last reading of the host list, entries the same by ID; listedAt is the time at which the
+	// membership got them.
+	reading, entries []HostEntry
+	listedAt         time.Duration
 
 	services  map[ident.ServiceName]*service
 	classes   map[ident.ClassName]*class
@@ -123,15 +124,16 @@
 	if len(entries) == 0 {
 		return
 	}
-	sorted := slices.Clone(entries)
-	slices.SortFunc(sorted, func(a, b HostEntry) int { return strings.Compare(a.ID, b.ID) })
-	same := slices.Equal(sorted, s.topo.entries)
-	if !same || s.now-s.topo.listedAt >= time.Second {
-		s.topo.listedAt = s.now
-		s.table.SetList(s.now, memberEntries(sorted))
+	t := &s.topo
+	changed := !slices.Equal(entries, t.reading)
+	if changed || s.now-t.listedAt >= time.Second {
+		t.listedAt = s.now
+		s.table.SetList(s.now, memberEntries(entries))
 	}
-	if !same {
-		s.topo.entries = sorted
+	if changed {
+		t.reading = slices.Clone(entries)
+		t.entries = slices.Clone(entries)
+		slices.SortFunc(t.entries, func(a, b HostEntry) int { return strings.Compare(a.ID, b.ID) })
 		s.rebuild()
 	}
 }
