standin: Add the log, the host list and the upstreams

Cause: tests and the demonstration need the platform's services and workers with faults that can be switched on. Change: one program with three sub-commands.

--- a/standin/main.go
+++ b/standin/main.go
@@ -1,4 +1,173 @@
-// Command standin is a program of sardinecross.
+// Command standin runs stand-ins for the platform's log, its host list and upstreams.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+
+	"sardinecross.example/lib/config"
+	"sardinecross.example/standin/hosts"
+	"sardinecross.example/standin/record"
+	"sardinecross.example/standin/worker"
+)
+
+// Exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+const usage = `usage: standin log|hosts|upstreams -settings FILE
+       standin log -listen IP:PORT -control IP:PORT [-rate N]
+       standin hosts -listen IP:PORT -control IP:PORT
+       standin upstreams -listen IP:PORT -control IP:PORT [-workers N] [-service NAME] [-slots N]
+`
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// standin is one running stand-in.
+type standin interface{ Close() }
+
+var (
+	_ standin = (*record.Log)(nil)
+	_ standin = (*hosts.List)(nil)
+	_ standin = (*worker.Fleet)(nil)
+)
+
+// options are the flags.
+type options struct {
+	settings, service string
+	listen, control   netip.AddrPort
+	rate              float64
+	workers, slots    int
+}
+
+// run starts a stand-in, prints "ready" and serves until ctx ends.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	if len(args) == 0 {
+		fmt.Fprint(stderr, usage) //nolint:errcheck // nowhere to report it
+		return exitUsage
+	}
+	opt, err := parse(args[0], args[1:], stderr)
+	if err != nil {
+		return exitUsage
+	}
+	s, err := start(args[0], opt)
+	if err != nil {
+		fmt.Fprintln(stderr, err) //nolint:errcheck // nowhere to report it
+		return exitCode(err)
+	}
+	fmt.Fprintln(stdout, "ready") //nolint:errcheck // the reader may have gone
+	<-ctx.Done()
+	s.Close()
+	return exitDone
+}
+
+func parse(name string, args []string, stderr io.Writer) (options, error) {
+	fs := flag.NewFlagSet("standin "+name, flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	fs.Usage = func() { fmt.Fprint(stderr, usage) } //nolint:errcheck // nowhere to report it
+	opt := options{rate: 300, workers: 1, slots: 4}
+	fs.StringVar(&opt.settings, "settings", "", "settings file; replaces all other flags")
+	fs.TextVar(&opt.listen, "listen", netip.AddrPort{}, "address; upstreams use consecutive ports from here")
+	fs.TextVar(&opt.control, "control", netip.AddrPort{}, "address of POST /control and GET /stats")
+	fs.Float64Var(&opt.rate, "rate", opt.rate, "appends per second")
+	fs.IntVar(&opt.workers, "workers", opt.workers, "number of upstreams")
+	fs.StringVar(&opt.service, "service", "booking", "service of the upstreams")
+	fs.IntVar(&opt.slots, "slots", opt.slots, "slots of each upstream")
+	return opt, fs.Parse(args)
+}
+
+// UsageError reports an unknown stand-in or missing flags.
+type UsageError struct{ Problem string }
+
+// Error implements error.
+func (e *UsageError) Error() string { return e.Problem + "\n" + usage }
+
+func exitCode(err error) int {
+	var use *UsageError
+	var mistakes *config.Mistakes
+	var file *config.FileError
+	if errors.As(err, &use) || errors.As(err, &mistakes) || errors.As(err, &file) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+func start(name string, opt options) (standin, error) {
+	if opt.settings == "" && (!opt.listen.IsValid() || !opt.control.IsValid()) {
+		return nil, &UsageError{Problem: "-settings, or -listen and -control are required"}
+	}
+	switch name {
+	case "log":
+		return startLog(opt)
+	case "hosts":
+		return startHosts(opt)
+	case "upstreams":
+		return startUpstreams(opt)
+	}
+	return nil, &UsageError{Problem: "no stand-in is called " + name}
+}
+
+func startLog(opt options) (standin, error) {
+	var cfg record.Settings
+	cfg.SetDefaults()
+	if opt.settings == "" {
+		cfg.Listen, cfg.Control, cfg.AppendsPerSecond = opt.listen, opt.control, opt.rate
+	} else if err := config.Load(opt.settings, &cfg); err != nil {
+		return nil, err
+	}
+	return record.New(cfg)
+}
+
+func startHosts(opt options) (standin, error) {
+	cfg := hosts.Settings{Listen: opt.listen, Control: opt.control}
+	if opt.settings != "" {
+		if err := config.Load(opt.settings, &cfg); err != nil {
+			return nil, err
+		}
+	}
+	return hosts.New(cfg)
+}
+
+func startUpstreams(opt options) (standin, error) {
+	var cfg worker.Settings
+	cfg.SetDefaults()
+	if opt.settings == "" {
+		fillUpstreams(&cfg, opt)
+	} else if err := config.Load(opt.settings, &cfg); err != nil {
+		return nil, err
+	}
+	return worker.New(cfg)
+}
+
+// fillUpstreams makes settings from the flags.
+func fillUpstreams(cfg *worker.Settings, opt options) {
+	var service worker.Service
+	service.SetDefaults()
+	service.Slots = opt.slots
+	cfg.Control = opt.control
+	cfg.Services = map[string]worker.Service{opt.service: service}
+	for i := range opt.workers {
+		cfg.Workers = append(cfg.Workers, worker.Place{
+			ID:         opt.service + "-" + strconv.Itoa(i+1),
+			Service:    opt.service,
+			DataCentre: "local",
+			Address:    netip.AddrPortFrom(opt.listen.Addr(), opt.listen.Port()+uint16(i)),
+		})
+	}
+}
