config: Take the log's retention and peer addresses from the settings

Cause: the daemon assumed a retention of 20 minutes, so a log that keeps 10 would forget claims within the lifetime of their keys. Hosts behind address translation cannot be dialled by the address in the host list. Change: platform.retention (10m) and peerAddresses; both reach the reducer and the links.

--- a/lib/config/daemon.go
+++ b/lib/config/daemon.go
@@ -15,6 +15,8 @@
 	Listen   Listen   `config:"listen,required"`
 	Platform Platform `config:"platform,required"`
 	TLS      TLS      `config:"tls,required"`
+	// PeerAddresses replaces the address that the host list gives for another host, for hosts behind address translation.
+	PeerAddresses map[ident.HostID]netip.AddrPort `config:"peerAddresses" range:"0..1024"`
 	// DataCentres are all of the site, in the order of preference after the own one.
 	DataCentres []ident.DataCentre            `config:"dataCentres,required" range:"1..64" unique:"."`
 	Services    map[ident.ServiceName]Service `config:"services,required" range:"1..256"`
@@ -42,6 +44,8 @@
 type Platform struct {
 	Log      netip.AddrPort `config:"log,required"`
 	HostList netip.AddrPort `config:"hostList,required"`
+	// Retention is the time for which the log keeps every record at least. Keys are remembered for half of it.
+	Retention time.Duration `config:"retention" range:"4s..8760h"`
 }
 
 // TLS names the files of the links between hosts.
@@ -99,6 +103,9 @@
 	*s = Service{ColdSlots: 1, Connections: 256, ProbeCost: 6 * time.Millisecond, ConnectionCost: time.Millisecond, MeasuringShare: 0.01}
 }
 
+// SetDefaults implements Defaulter.
+func (p *Platform) SetDefaults() { p.Retention = 10 * time.Minute }
+
 // SetDefaults implements Defaulter.
 func (l *Logging) SetDefaults() { *l = Logging{Level: "info", Format: "text"} }
 
@@ -162,6 +169,7 @@
 }
 
 var (
+	_ Defaulter = (*Platform)(nil)
 	_ Defaulter = (*Service)(nil)
 	_ Defaulter = (*Logging)(nil)
 	_ Defaulter = (*Limits)(nil)
--- a/sardined/daemon.go
+++ b/sardined/daemon.go
@@ -58,6 +58,7 @@
 		Host:          s.Host.ID,
 		Incarnation:   incarnation,
 		Address:       s.Listen.Peers,
+		Addresses:     s.PeerAddresses,
 		CAFile:        s.TLS.CA,
 		IdentityFile:  s.TLS.Identity,
 		HeaderBytes:   s.Limits.HeaderBytes,
@@ -201,6 +202,7 @@
 			Pledge:            s.Timing.Pledge,
 			AddressLifetime:   s.Timing.AddressLifetime,
 			RequestIDLifetime: s.Timing.RequestIDLifetime,
+			Retention:         s.Platform.Retention,
 		},
 		Limits: core.Limits{
 			RequestIDs:        s.Limits.RequestIDs,
--- a/sardined/peer/peer.go
+++ b/sardined/peer/peer.go
@@ -47,6 +47,8 @@
 	Incarnation ident.Incarnation
 	// Address is the listener's, and the source of the links dialled.
 	Address netip.AddrPort
+	// Addresses replaces what the host list says about where to dial other hosts.
+	Addresses map[ident.HostID]netip.AddrPort
 	// CAFile and IdentityFile are PEM files; the identity holds a certificate and its key.
 	CAFile, IdentityFile string
 	// HeaderBytes and BodyBytes bound a relayed request.
@@ -171,6 +173,14 @@
 	return p
 }
 
+// address returns where to dial a host: what the settings say, or else the host list.
+func (l *Links) address(e core.PeerAddress) (netip.AddrPort, error) {
+	if a, ok := l.cfg.Addresses[e.ID]; ok {
+		return a, nil
+	}
+	return netip.ParseAddrPort(e.Address)
+}
+
 // SetPeers implements runner.Links.
 func (l *Links) SetPeers(list []core.PeerAddress) {
 	l.mu.Lock()
@@ -183,7 +193,7 @@
 		if e.ID == l.cfg.Host {
 			continue
 		}
-		address, err := netip.ParseAddrPort(e.Address)
+		address, err := l.address(e)
 		if err != nil {
 			continue
 		}
