core: Make the last attempt in another data centre, and check queued retries again

The last attempt of a request whose others failed in the own data centre goes to another one, since what failed may be common to it. Times of upstreams without recent work fall back to the median after a second: an upstream that others outran got no work that could show its recovery. The owner reports when the limit of an upstream falls.

The random walk failed on a consultation that was queued for a retry while operators made its class non-idempotent (TestWalk: "request 146 is not idempotent and runs for the second time"): the rule was checked only when the retry was queued. It is now checked at the start too, with a test of its own. TestDeterministic repeats runs and compares every effect.

--- a/lib/core/core.go
+++ b/lib/core/core.go
@@ -39,8 +39,8 @@
 	peersAt uint64
 	// ownersAt is the revision for which the owners were compared.
 	ownersAt uint64
-	// judgeAt and probeAt are the times of the next look at stragglers and probes.
-	judgeAt, probeAt time.Duration
+	// judgeAt, probeAt and limitsAt are the times of the next look at stragglers, probes and limits.
+	judgeAt, probeAt, limitsAt time.Duration
 	// asked is the time of the last ConfRequest.
 	asked time.Duration
 	// turn rotates the hosts of one data centre in the answers of Addresses.
--- a/lib/core/dispatch.go
+++ b/lib/core/dispatch.go
@@ -74,6 +74,9 @@
 		return ReasonDeadline, true
 	case !s.inService():
 		return ReasonConfigStale, true
+	case len(r.attempts) > 0 && !s.retrySafe(r):
+		// Operators changed the class while the retry waited.
+		return ReasonUpstreamFailed, true
 	case r.started && !s.book.MayStart(s.now, r.ID):
 		return ReasonDeadline, true
 	default:
@@ -93,10 +96,20 @@
 // choose returns an upstream with a free leased slot for a request, or nil. The own data centre comes first; others are used
 // when the wait for a local slot would exceed the target. A hedge goes to an upstream that was not tried.
 func (s *State) choose(c *class, r *request, hedge bool) *upstream {
-	for i, z := range c.service.zones {
-		if i > 0 && !s.spills(c, r) {
-			return nil
+	zones := c.service.zones
+	if s.leavesHome(c, r) {
+		if u := s.chooseAmong(zones[1:], c, r, hedge); u != nil || s.now-r.queuedAt < recheckInterval {
+			return u
 		}
+	}
+	if u := s.chooseIn(zones[0], c, r, hedge); u != nil || !s.spills(c, r) {
+		return u
+	}
+	return s.chooseAmong(zones[1:], c, r, hedge)
+}
+
+func (s *State) chooseAmong(zones []*zone, c *class, r *request, hedge bool) *upstream {
+	for _, z := range zones {
 		if u := s.chooseIn(z, c, r, hedge); u != nil {
 			return u
 		}
@@ -104,6 +117,20 @@
 	return nil
 }
 
+// leavesHome reports that the last attempt of a request should be made in another data centre, because all others failed in the own
+// one: what failed there may be common to it.
+func (s *State) leavesHome(c *class, r *request) bool {
+	if len(r.attempts) != maxAttempts-1 || c.service.usable == len(c.service.zones[0].upstreams) {
+		return false
+	}
+	for i := range r.attempts {
+		if r.attempts[i].upstream.dataCentre != s.cfg.DataCentre {
+			return false
+		}
+	}
+	return true
+}
+
 // chooseIn selects within one data centre. An ejected upstream whose trial is due goes first; one that was tried
 // goes last.
 func (s *State) chooseIn(z *zone, c *class, r *request, hedge bool) *upstream {
@@ -143,11 +170,11 @@
 	return c.service.usable <= len(r.attempts) || s.now-r.queuedAt >= recheckInterval
 }
 
-// spills reports whether a request may leave the own data centre: there is no usable upstream, or the wait for a local slot, with the
-// time to answer, would exceed the target of the class.
+// spills reports whether a request may leave the own data centre: there is no usable upstream, its attempts there have failed, or the
+// wait for a local slot, with the time to answer, would exceed the target of the class.
 func (s *State) spills(c *class, r *request) bool {
 	local := c.service.zones[0]
-	if len(local.upstreams) == 0 {
+	if len(local.upstreams) == 0 || s.leavesHome(c, r) {
 		return true
 	}
 	wait := s.now - r.queuedAt
--- a/lib/core/notice.go
+++ b/lib/core/notice.go
@@ -92,12 +92,27 @@
 	}
 }
 
-// watchOwners reports the upstreams whose owner changed since the last look.
+// watchOwners reports the upstreams whose owner changed since the last look, and those of this host's own whose limit fell.
 func (s *State) watchOwners() {
-	if s.ownersAt == s.table.Revision() {
+	if s.ownersAt != s.table.Revision() {
+		s.ownersAt = s.table.Revision()
+		s.compareOwners()
+	}
+	if s.now < s.limitsAt {
 		return
 	}
-	s.ownersAt = s.table.Revision()
+	s.limitsAt = s.now + limitInterval
+	for _, e := range s.topo.entries {
+		if u := s.topo.upstreams[ident.UpstreamID(e.ID)]; u != nil && e.Role == RoleUpstream {
+			s.watchLimit(u)
+		}
+	}
+}
+
+// limitInterval is how often the limits of the own upstreams are compared.
+const limitInterval = time.Second
+
+func (s *State) compareOwners() {
 	changed := 0
 	for _, u := range s.topo.upstreams {
 		owner, _ := s.slots.Owner(u.id)
@@ -110,3 +125,15 @@
 		s.notice(false, "owners", "changed", strconv.Itoa(changed))
 	}
 }
+
+func (s *State) watchLimit(u *upstream) {
+	if u.owner != s.cfg.Host {
+		u.limit = 0
+		return
+	}
+	st, ok := s.slots.Status(s.now, u.id)
+	if ok && st.Limit < u.limit {
+		s.noticeEach("limitFell", string(u.id), "upstream", string(u.id), "limit", strconv.Itoa(st.Limit))
+	}
+	u.limit = st.Limit
+}
--- a/lib/core/refuse_test.go
+++ b/lib/core/refuse_test.go
@@ -215,3 +215,46 @@
 		t.Errorf("%d attempts for 300 requests", started)
 	}
 }
+
+// Guards against a request that fails because all upstreams of the own data centre do.
+func TestLastAttemptElsewhere(t *testing.T) {
+	h := newHost(t, 4)
+	h.addPeer("landshut-1", "landshut")
+	h.entries = append(h.entries, upstreamEntry(7, "landshut"))
+	h.run(time.Second)
+	id := h.arrive(RequestArrived{Class: "orders"})
+	for attempt := 1; attempt < maxAttempts; attempt++ {
+		if a := only[StartAttempt](t, h); a.Upstream == "u7" {
+			t.Fatalf("attempt %d left the data centre", attempt)
+		}
+		h.step(AttemptEnded{ID: id, Attempt: attempt, Outcome: OutcomeNotSent, Refused: true})
+		h.run(5 * ms)
+	}
+	if a := only[StartAttempt](t, h); a.Upstream != "u7" {
+		t.Fatalf("the last attempt went to %s", a.Upstream)
+	}
+}
+
+// Guards against the retry of a request whose class stopped being idempotent while it waited.
+func TestRetryOfChangedClass(t *testing.T) {
+	h := newHost(t, 1)
+	id := h.arrive(RequestArrived{Class: "enquiry"})
+	order := h.arrive(RequestArrived{Class: "orders"})
+	h.end(id, 1, OutcomeReset)
+	if n := len(started(h)); n != 2 {
+		t.Fatalf("%d attempts, want one of each request", n)
+	}
+	class := testClasses["enquiry"]
+	class.Idempotent = false
+	h.publish(conf.ClassItem("enquiry"), conf.Value{Class: class})
+	h.run(250 * ms)
+	h.serve(order, 1)
+	h.run(100 * ms)
+	effects := h.take()
+	if len(effects) != 2 || effects[0] != (Deliver{ID: order, Attempt: 1}) && effects[1] != (Deliver{ID: order, Attempt: 1}) {
+		t.Fatalf("got %+v, want the answer of the order and a refusal", effects)
+	}
+	if len(h.s.requests) != 0 {
+		t.Error("the retry is still waiting")
+	}
+}
--- a/lib/core/request_test.go
+++ b/lib/core/request_test.go
@@ -61,6 +61,17 @@
 			h.arrive(ev)
 			only[Replay](t, h)
 		})
+		t.Run(name+" cancelled and reset", func(t *testing.T) {
+			h := newHost(t, 1)
+			ev := request(t, h)
+			id := h.arrive(ev)
+			h.run(100 * ms)
+			only[StartAttempt](t, h)
+			h.step(RequestCancelled{ID: id})
+			h.end(id, 1, OutcomeReset)
+			h.arrive(ev)
+			assertRefused(t, h, ReasonUpstreamFailed, RunUnknown)
+		})
 		t.Run(name+" unknown", func(t *testing.T) {
 			h := newHost(t, 1)
 			ev := request(t, h)
--- a/lib/core/topology.go
+++ b/lib/core/topology.go
@@ -81,8 +81,9 @@
 	incarnation string
 	// want is the number of slots last asked for.
 	want int
-	// owner is the one last reported.
+	// owner is the one last reported, limit the last one seen while this host was the owner.
 	owner ident.HostID
+	limit int
 }
 
 func (u *upstream) usable() bool { return !u.out && !u.leaving }
--- a/lib/policy/policy_test.go
+++ b/lib/policy/policy_test.go
@@ -178,6 +178,21 @@
 		w.Judge(2 * time.Second)
 		assertEqual(t, "ejected of seven", w.EjectedCount(), 2)
 	})
+	// Guards against an upstream that is never tried again because others look faster.
+	t.Run("idle", func(t *testing.T) {
+		w := watch(6)
+		w.Observe("u4", 50*time.Millisecond)
+		before := w.Smoothed("u4")
+		for i := range 100 {
+			w.Judge(2*time.Second + time.Duration(i)*judgeInterval)
+			if i < idleJudgements {
+				assertEqual(t, "time of a recent observation", w.Smoothed("u4"), before)
+			}
+		}
+		if got := w.Smoothed("u4"); got > 11*time.Millisecond {
+			t.Errorf("got %v after 5 s without work, want the median of 10ms", got)
+		}
+	})
 	// Guards against an upstream that stays out after it recovered.
 	t.Run("recovery", func(t *testing.T) {
 		w := watch(6)
--- a/lib/policy/watch.go
+++ b/lib/policy/watch.go
@@ -19,6 +19,11 @@
 	trialInterval = time.Second
 	// judgeInterval bounds how often the median is computed; a straggler is found within one interval.
 	judgeInterval = 50 * time.Millisecond
+	// idleJudgements is the number of judgements without an observation, about a second, after which a time above
+	// the median starts to fall back to it. An upstream that others outrun gets no work that could show a recovery.
+	idleJudgements = 20
+	// idleGain is the part of the distance to the median by which it falls at each further judgement.
+	idleGain = 16
 )
 
 // Watch holds the smoothed times of the upstreams of one class; the zero value is empty.
@@ -40,6 +45,8 @@
 	ejected  bool
 	// slow counts the slow answers in a row.
 	slow int
+	// idle counts the judgements since the last observation.
+	idle int
 	// trialAt is the earliest time of the next trial while ejected.
 	trialAt time.Duration
 }
@@ -91,6 +98,7 @@
 
 // smooth gives a trial of an ejected upstream more weight, so that a few good trials bring it back.
 func (u *watched) smooth(took time.Duration) {
+	u.idle = 0
 	if u.smoothed == 0 {
 		u.smoothed = max(took, 1)
 		return
@@ -174,6 +182,7 @@
 	if !w.findMedian() {
 		return nil
 	}
+	w.forget()
 	bound := stragglerFactor * w.median
 	changes := w.bringBack(bound, nil)
 	changes = w.trim(changes)
@@ -204,6 +213,16 @@
 	return u.id < v.id
 }
 
+// forget lets the times of upstreams without recent observations fall to the median; ejected ones have their trials.
+func (w *Watch) forget() {
+	for _, u := range w.upstreams {
+		u.idle++
+		if !u.ejected && u.idle > idleJudgements && u.smoothed > w.median {
+			u.smoothed -= (u.smoothed - w.median) / idleGain
+		}
+	}
+}
+
 // findMedian reports whether any upstream has an observation.
 func (w *Watch) findMedian() bool {
 	w.times = w.times[:0]
