core: Take ten minutes as the default of the log's retention

The settings of the daemon have the same default since; a longer one here would let a user of the package remember claims for longer than the log does.

--- a/lib/core/settings.go
+++ b/lib/core/settings.go
@@ -38,7 +38,7 @@
 	Pledge            time.Duration
 	AddressLifetime   time.Duration
 	RequestIDLifetime time.Duration
-	// Retention is the time for which the log keeps a record at least, 20 minutes by default.
+	// Retention is the time for which the log keeps a record at least, 10 minutes by default.
 	Retention time.Duration
 }
 
@@ -56,7 +56,7 @@
 	setDefault(&t.Pledge, time.Second)
 	setDefault(&t.AddressLifetime, 2*time.Second)
 	setDefault(&t.RequestIDLifetime, time.Minute)
-	setDefault(&t.Retention, 20*time.Minute)
+	setDefault(&t.Retention, 10*time.Minute)
 	return t
 }
 
