core: Prefer a running attempt to a server error, and name other hosts while out of service

A server error of a hedged request is given up for the attempt that still runs, at no cost to the budget. Attempts that were cancelled but have not ended no longer count as running here, since their answers cannot be delivered any more.

Timers fire after the event of a step: an answer that arrived together with the time to hedge started a second attempt and cancelled it at once.

A host that accepts no new work names all other hosts in service to callers, because it cannot tell which of them are reachable. Repeated entries of the host list are dropped.

--- a/lib/core/attempt.go
+++ b/lib/core/attempt.go
@@ -32,7 +32,7 @@
 	if r.delivered > 0 || r.ended || a.cancelled {
 		return
 	}
-	if a.failed && s.retryAnswer(r) {
+	if a.failed && s.retryAnswer(r, ev.Attempt) {
 		return
 	}
 	r.delivered = ev.Attempt
@@ -60,17 +60,20 @@
 	p.ObserveHead(ev.FirstByte)
 }
 
-// retryAnswer replaces an attempt that answered with a server error by another one, and reports whether it did.
-func (s *State) retryAnswer(r *request) bool {
-	if r.gone || !r.idempotent || !s.mayRetry(r) || r.running() > 1 {
+// retryAnswer gives up an attempt that answered with a server error in favour of another one, which runs already or is
+// queued, and reports whether there is one.
+func (s *State) retryAnswer(r *request, n int) bool {
+	if r.gone || !r.idempotent || !s.mayRetry(r) && r.live() == 1 {
 		return false
 	}
-	if !r.class.policy.Budget.Take() {
-		return false
+	if r.live() == 1 {
+		if !r.class.policy.Budget.Take() {
+			return false
+		}
+		s.counters.Retries++
+		s.enqueue(r)
 	}
-	s.cancelAttempts(r, 0)
-	s.counters.Retries++
-	s.enqueue(r)
+	s.cancelAttempt(r, n)
 	return true
 }
 
@@ -213,12 +216,12 @@
 // is hedged once.
 func (s *State) mayHedge(r *request, n int) bool {
 	return !r.gone && !r.told && r.idempotent && r.class.def.Idempotent && s.mayRetry(r) &&
-		n == len(r.attempts) && r.running() == 1 && s.attemptOf(r, n) != nil && !r.attempts[n-1].answered
+		n == len(r.attempts) && r.live() == 1 && s.attemptOf(r, n) != nil && !r.attempts[n-1].answered
 }
 
 // armHedge sets the time at which an attempt that has not answered is hedged.
 func (s *State) armHedge(r *request) {
-	if !r.idempotent || !r.retriable || r.running() > 1 {
+	if !r.idempotent || !r.retriable || r.live() > 1 {
 		return
 	}
 	after, ok := r.class.policy.HedgeAfter()
--- a/lib/core/core.go
+++ b/lib/core/core.go
@@ -109,7 +109,6 @@
 func (s *State) passTime() {
 	s.slots.Advance(s.now)
 	s.apply(s.book.Expire(s.now))
-	s.fireTimers()
 	s.pollPlatform()
 	s.sendHeartbeats()
 	s.judgeStragglers()
@@ -118,6 +117,8 @@
 
 // conclude starts the work that the event made possible and sends what the sub-states have to say.
 func (s *State) conclude() {
+	// After the event, so that an answer that has just arrived is not hedged.
+	s.fireTimers()
 	s.markReady()
 	s.dispatchDirty()
 	s.flushClaims()
--- a/lib/core/peer.go
+++ b/lib/core/peer.go
@@ -166,8 +166,9 @@
 }
 
 // Addresses returns the hosts that a caller of a class may use, nearest first, and how long it may keep them. Hosts that
-// leave, are not reachable or are in a data centre taken out of service are not among them. Hosts of one data centre take
-// turns at the first place. The runner calls it under the mutex of Step.
+// leave, are not reachable or are in a data centre taken out of service are not among them. A host that accepts no new work
+// itself cannot tell who is reachable and names all others. Hosts of one data centre take turns at the first place. The
+// runner calls it under the mutex of Step.
 func (s *State) Addresses(now time.Duration, _ ident.ClassName) ([]Address, time.Duration) {
 	s.now = max(s.now, now)
 	s.table.Advance(s.now)
@@ -183,10 +184,15 @@
 }
 
 func (s *State) addressesIn(hosts []member.Host, dc ident.DataCentre) []Address {
+	inService := s.inService()
 	var out []Address
 	for _, h := range hosts {
+		usable := h.Reachable
+		if !inService {
+			usable = h.ID != s.cfg.Host
+		}
 		address := s.addressOf(h.ID)
-		if h.DataCentre == dc && h.Reachable && !h.Leaving && address != "" {
+		if h.DataCentre == dc && usable && !h.Leaving && address != "" {
 			out = append(out, Address{Address: address, DataCentre: dc})
 		}
 	}
--- a/lib/core/peer_test.go
+++ b/lib/core/peer_test.go
@@ -93,7 +93,7 @@
 
 // Guards against a server error that reaches the caller of a consultation while another upstream could answer.
 func TestServerError(t *testing.T) {
-	h := newHost(t, 2)
+	h := newHost(t, 3)
 	id := h.arrive(RequestArrived{Class: "enquiry"})
 	only[StartAttempt](t, h)
 	for attempt := 1; attempt < maxAttempts; attempt++ {
@@ -102,8 +102,11 @@
 		if len(effects) != 2 || effects[0] != (CancelAttempt{ID: id, Attempt: attempt}) {
 			t.Fatalf("got %+v, want a cancellation and another attempt", effects)
 		}
-		h.end(id, attempt, OutcomeCancelled)
 	}
 	h.answered(id, maxAttempts, 500)
 	only[Deliver](t, h)
+	for attempt := 1; attempt < maxAttempts; attempt++ {
+		h.end(id, attempt, OutcomeCancelled)
+	}
+	assertNone(t, h)
 }
--- a/lib/core/request.go
+++ b/lib/core/request.go
@@ -76,6 +76,17 @@
 	return n
 }
 
+// live returns the number of attempts whose answer may still be delivered.
+func (r *request) live() int {
+	n := 0
+	for i := range r.attempts {
+		if a := &r.attempts[i]; a.outcome == 0 && !a.cancelled {
+			n++
+		}
+	}
+	return n
+}
+
 // triedAt reports whether an attempt of the request was sent to an upstream.
 func (r *request) triedAt(u *upstream) bool {
 	for i := range r.attempts {
@@ -213,14 +224,20 @@
 // cancelAttempts ends all running attempts but one.
 func (s *State) cancelAttempts(r *request, except int) {
 	for i := range r.attempts {
-		a := &r.attempts[i]
-		if a.outcome == 0 && !a.cancelled && i+1 != except {
-			a.cancelled = true
-			s.emit(CancelAttempt{ID: r.ID, Attempt: i + 1})
+		if i+1 != except {
+			s.cancelAttempt(r, i+1)
 		}
 	}
 }
 
+func (s *State) cancelAttempt(r *request, n int) {
+	a := &r.attempts[n-1]
+	if a.outcome == 0 && !a.cancelled {
+		a.cancelled = true
+		s.emit(CancelAttempt{ID: r.ID, Attempt: n})
+	}
+}
+
 // finish ends a request: the book learns what became of it, and nothing more is sent for it.
 func (s *State) finish(r *request, run Run, answer *Answer) {
 	s.forget(r)
--- a/lib/core/request_test.go
+++ b/lib/core/request_test.go
@@ -137,6 +137,18 @@
 		h.end(id, 1, OutcomeCancelled)
 		assertNone(t, h)
 	})
+	t.Run("server error", func(t *testing.T) {
+		id := h.arrive(RequestArrived{Class: "enquiry"})
+		h.run(50 * ms)
+		h.take()
+		h.answered(id, 1, 503)
+		if e := only[CancelAttempt](t, h); e.Attempt != 1 {
+			t.Fatalf("got %+v", e)
+		}
+		h.end(id, 1, OutcomeCancelled)
+		h.serve(id, 2)
+		only[Deliver](t, h)
+	})
 	t.Run("order", func(t *testing.T) {
 		h.arrive(RequestArrived{Class: "orders"})
 		only[StartAttempt](t, h)
@@ -268,6 +280,14 @@
 	delete(h.peers, "passau-2")
 	h.run(time.Second)
 	assertAddresses("unreachable", "127.0.1.1:80", "landshut-1:80")
+	h.logDown = true
+	h.run(1500 * ms)
+	others := h.peers
+	h.peers = nil
+	h.run(3 * time.Second)
+	assertAddresses("old configuration", "passau-2:80", "landshut-1:80")
+	h.logDown, h.peers = false, others
+	h.run(time.Second)
 	h.step(StopRequested{})
 	assertAddresses("leaving", "landshut-1:80")
 	h.publish(conf.DataCentreItem("landshut"), conf.Value{Out: true})
--- a/lib/core/topology.go
+++ b/lib/core/topology.go
@@ -16,7 +16,7 @@
 type topology struct {
 	cfg  Settings
 	view conf.View
-	// reading is the last reading of the host list, entries the same by ID; listedAt is the time at which the
+	// reading is the last reading of the host list, entries the same by ID and without repetitions; listedAt is the time at which the
 	// membership got them.
 	reading, entries []HostEntry
 	listedAt         time.Duration
@@ -134,7 +134,8 @@
 	if changed {
 		t.reading = slices.Clone(entries)
 		t.entries = slices.Clone(entries)
-		slices.SortFunc(t.entries, func(a, b HostEntry) int { return strings.Compare(a.ID, b.ID) })
+		slices.SortStableFunc(t.entries, func(a, b HostEntry) int { return strings.Compare(a.ID, b.ID) })
+		t.entries = slices.CompactFunc(t.entries, func(a, b HostEntry) bool { return a.ID == b.ID && a.Role == b.Role })
 		s.rebuild()
 	}
 }
