applog: Refuse gaps in a batch

Cause: configuration and claims are decided from consecutive offsets; the decoder accepted a batch that skipped one. Change: records must follow each other from max(from, first) on. Result: the added cases failed before the change would accept them and pass now.

--- a/lib/applog/applog_test.go
+++ b/lib/applog/applog_test.go
@@ -124,7 +124,10 @@
 // A batch with a gap in its order makes hosts decide differently from the same log.
 func TestDecodeBatch(t *testing.T) {
 	for body, ok := range map[string]bool{
-		`{"records":[{"offset":4,"data":"YQ=="},{"offset":6,"data":""}],"first":2,"next":7}`: true,
+		`{"records":[{"offset":4,"data":"YQ=="},{"offset":5,"data":""}],"first":2,"next":7}`: true,
+		`{"records":[{"offset":4},{"offset":6}],"first":2,"next":7}`:                         false,
+		`{"records":[{"offset":5}],"first":2,"next":7}`:                                      false,
+		`{"records":[{"offset":6}],"first":6,"next":7}`:                                      true,
 		`{"first":0,"next":0}`: true,
 		`{"records":[{"offset":4},{"offset":4}],"first":2,"next":7}`:              false,
 		`{"records":[{"offset":7}],"first":2,"next":7}`:                           false,
--- a/lib/applog/decode.go
+++ b/lib/applog/decode.go
@@ -30,7 +30,7 @@
 }
 
 // decodeBatch returns the batch in the response to a read of at most limit records from offset from.
-// Offsets out of order or outside the retained range would let a reader skip records unnoticed, so they are errors.
+// Every record from max(from, first) on must follow the one before, since a gap would let hosts decide differently.
 func decodeBatch(body []byte, from int64, limit int) (Batch, error) {
 	var resp readResponse
 	if err := json.Unmarshal(body, &resp); err != nil {
@@ -43,12 +43,12 @@
 		return Batch{}, &DecodeError{Reason: "more records than requested"}
 	}
 	b := Batch{First: *resp.First, Next: *resp.Next, Records: make([]Record, 0, len(resp.Records))}
-	least := max(from, b.First)
+	offset := max(from, b.First)
 	for _, r := range resp.Records {
-		if r.Offset == nil || *r.Offset < least || *r.Offset >= b.Next {
-			return Batch{}, &DecodeError{Reason: "record offset out of order or range"}
+		if r.Offset == nil || *r.Offset != offset || offset >= b.Next {
+			return Batch{}, &DecodeError{Reason: "record offset out of sequence or range"}
 		}
-		least = *r.Offset + 1
+		offset++
 		b.Records = append(b.Records, Record{Offset: *r.Offset, Data: r.Data})
 	}
 	return b, nil
