peer: Accept versions of hosts that have read no configuration

The check of numbers dropped heartbeats with conf.NoVersion (-1), so a host that started while the log was down would have stayed out of the membership. The test failed with 'version is -1' on the check before.

--- a/sardined/peer/wire.go
+++ b/sardined/peer/wire.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"sardinecross.example/lib/common/ident"
+	"sardinecross.example/lib/conf"
 	"sardinecross.example/lib/core"
 	"sardinecross.example/lib/lease"
 	"sardinecross.example/lib/member"
@@ -235,9 +236,17 @@
 	case w.Handoff != nil:
 		return w.Handoff.check()
 	case w.ConfRequest != nil:
-		return notNegative("from", w.ConfRequest.From)
+		return checkVersion(w.ConfRequest.From)
 	}
-	return notNegative("version", w.ConfRecords.Version)
+	return checkVersion(w.ConfRecords.Version)
+}
+
+// checkVersion accepts conf.NoVersion, which hosts send until they have read the log.
+func checkVersion(v int64) error {
+	if v < conf.NoVersion {
+		return &RangeError{Field: "version", Value: v}
+	}
+	return nil
 }
 
 func (w *wireHeartbeat) check() error {
@@ -246,7 +255,7 @@
 			return err
 		}
 	}
-	return notNegative("confVersion", w.ConfVersion)
+	return checkVersion(w.ConfVersion)
 }
 
 func (w *wireSlotRequest) check() error {
