--- a/sardined/front/parse.go
+++ b/sardined/front/parse.go
@@ -10,14 +10,15 @@
 	"time"
 
 	"sardinecross.example/lib/common/ident"
+	"sardinecross.example/lib/conf"
 	"sardinecross.example/sardined/proxy"
 	"sardinecross.example/sardined/runner"
 )
 
 const (
 	classPrefix = "/v1/classes/"
-	// maxNameBytes bounds classes and tenants.
-	maxNameBytes = 64
+	// maxNameBytes bounds classes, whose names have at most conf.MaxName bytes, and tenants.
+	maxNameBytes = conf.MaxName
 	// maxTokenBytes bounds request IDs and keys.
 	maxTokenBytes = 255
 	// maxDepth is well above the deepest call tree planned, which has 18 levels; more is taken for a loop.
