core: Withdraw the wish for a spare slot of an idle service

The wish stayed with the owner until it was granted, which could call a slot back from a busy host. TestSpareSlot guards it. Fields and methods have plainer names.

--- a/lib/core/attempt.go
+++ b/lib/core/attempt.go
@@ -38,10 +38,10 @@
 	r.delivered = ev.Attempt
 	s.cancelAttempts(r, ev.Attempt)
 	s.trimTimers()
-	if r.told {
+	if r.replied {
 		return
 	}
-	r.told = true
+	r.replied = true
 	s.emit(Deliver{ID: r.ID, Attempt: ev.Attempt})
 	s.counters.Delivered++
 }
@@ -63,7 +63,7 @@
 // retryAnswer gives up an attempt that answered with a server error in favour of another one, which runs already or is
 // queued, and reports whether there is one.
 func (s *State) retryAnswer(r *request, n int) bool {
-	if r.gone || !r.idempotent || !s.mayRetry(r) && r.live() == 1 {
+	if r.callerGone || !r.idempotent || !s.mayRetry(r) && r.live() == 1 {
 		return false
 	}
 	if r.live() == 1 {
@@ -105,7 +105,7 @@
 		s.finish(r, RunYes, r.answer)
 	case ev.Outcome == OutcomeComplete:
 		s.refuse(r, ReasonUpstreamFailed, RunYes)
-	case r.gone:
+	case r.callerGone:
 		s.finish(r, RunNo, nil)
 	case s.retryFailed(r, ev):
 	default:
@@ -215,7 +215,7 @@
 // mayHedge reports that only the given attempt of an idempotent request runs and that it has not answered. A request
 // is hedged once.
 func (s *State) mayHedge(r *request, n int) bool {
-	return !r.gone && !r.told && r.idempotent && r.class.def.Idempotent && s.mayRetry(r) &&
+	return !r.callerGone && !r.replied && r.idempotent && r.class.def.Idempotent && s.mayRetry(r) &&
 		n == len(r.attempts) && r.live() == 1 && s.attemptOf(r, n) != nil && !r.attempts[n-1].answered
 }
 
--- a/lib/core/core.go
+++ b/lib/core/core.go
@@ -43,8 +43,8 @@
 	judgeAt, probeAt, limitsAt time.Duration
 	// asked is the time of the last ConfRequest.
 	asked time.Duration
-	// turn rotates the hosts of one data centre in the answers of Addresses.
-	turn int
+	// rotation counts the answers of Addresses; the hosts of one data centre take turns at the first place.
+	rotation int
 	// blocked, fresh and tried are scratch space of one dispatch.
 	blocked      map[*policy.Class]bool
 	fresh, tried []policy.Candidate
@@ -98,15 +98,15 @@
 	s.now = max(s.now, now)
 	s.seed = rnd
 	s.effects = s.effects[:0]
-	s.passTime()
+	s.applyTimeouts()
 	s.route(ev)
 	s.conclude()
 	return s.effects
 }
 
-// passTime applies every timeout before the event is looked at, so that a host that was stopped meanwhile
+// applyTimeouts applies every timeout before the event is looked at, so that a host that was stopped meanwhile
 // decides on its event with expired leases and an old configuration.
-func (s *State) passTime() {
+func (s *State) applyTimeouts() {
 	s.slots.Advance(s.now)
 	s.apply(s.book.Expire(s.now))
 	s.pollPlatform()
--- a/lib/core/dispatch.go
+++ b/lib/core/dispatch.go
@@ -97,7 +97,7 @@
 // when the wait for a local slot would exceed the target. A hedge goes to an upstream that was not tried.
 func (s *State) choose(c *class, r *request, hedge bool) *upstream {
 	zones := c.service.zones
-	if s.leavesHome(c, r) {
+	if s.avoidsLocal(c, r) {
 		if u := s.chooseAmong(zones[1:], c, r, hedge); u != nil || s.now-r.queuedAt < recheckInterval {
 			return u
 		}
@@ -117,9 +117,9 @@
 	return nil
 }
 
-// leavesHome reports that the last attempt of a request should be made in another data centre, because all others failed in the own
+// avoidsLocal reports that the last attempt of a request should be made in another data centre, because all others failed in the own
 // one: what failed there may be common to it.
-func (s *State) leavesHome(c *class, r *request) bool {
+func (s *State) avoidsLocal(c *class, r *request) bool {
 	if len(r.attempts) != maxAttempts-1 || c.service.usable == len(c.service.zones[0].upstreams) {
 		return false
 	}
@@ -174,7 +174,7 @@
 // wait for a local slot, with the time to answer, would exceed the target of the class.
 func (s *State) spills(c *class, r *request) bool {
 	local := c.service.zones[0]
-	if len(local.upstreams) == 0 || s.leavesHome(c, r) {
+	if len(local.upstreams) == 0 || s.avoidsLocal(c, r) {
 		return true
 	}
 	wait := s.now - r.queuedAt
@@ -243,7 +243,7 @@
 		need, spread = 1, 1
 	}
 	if need > 0 && !svc.wanting {
-		svc.turn++
+		svc.rotation++
 	}
 	svc.wanting = need > 0
 	zones := 1
@@ -305,7 +305,7 @@
 		each = min((need+left-1)/left, s.cfg.Services[svc.name].Slots)
 	}
 	for i := range n {
-		u := z.upstreams[(svc.turn+i)%n]
+		u := z.upstreams[(svc.rotation+i)%n]
 		want := 0
 		ejected, trial := s.ejected(svc, u)
 		switch {
--- a/lib/core/notice.go
+++ b/lib/core/notice.go
@@ -73,6 +73,10 @@
 		for _, c := range svc.classes {
 			s.judgeClass(c)
 		}
+		if svc.wanting && s.now-svc.lastStart > spareFor {
+			// Takes back the wish for a spare slot of a service that is no longer in use.
+			s.topo.mark(svc)
+		}
 	}
 	s.watchOwners()
 }
--- a/lib/core/peer.go
+++ b/lib/core/peer.go
@@ -172,7 +172,7 @@
 func (s *State) Addresses(now time.Duration, _ ident.ClassName) ([]Address, time.Duration) {
 	s.now = max(s.now, now)
 	s.table.Advance(s.now)
-	s.turn++
+	s.rotation++
 	hosts := s.table.Hosts()
 	var out []Address
 	for _, dc := range s.topo.preference() {
@@ -199,7 +199,7 @@
 	if len(out) == 0 {
 		return nil
 	}
-	first := s.turn % len(out)
+	first := s.rotation % len(out)
 	return append(slices.Clone(out[first:]), out[:first]...)
 }
 
--- a/lib/core/peer_test.go
+++ b/lib/core/peer_test.go
@@ -110,3 +110,17 @@
 	}
 	assertNone(t, h)
 }
+
+// Guards against an idle service that keeps asking an owner for a slot that other hosts could use.
+func TestSpareSlot(t *testing.T) {
+	h := newHost(t, 1)
+	h.serve(h.arrive(RequestArrived{Class: "enquiry"}), 1)
+	h.arrive(RequestArrived{Class: "enquiry"})
+	if want := h.s.topo.upstreams["u0"].want; want != 1 {
+		t.Fatalf("wants %d slots while all are in use", want)
+	}
+	h.run(300 * ms)
+	if want := h.s.topo.upstreams["u0"].want; want != 0 {
+		t.Errorf("wants %d slots while idle", want)
+	}
+}
--- a/lib/core/refuse.go
+++ b/lib/core/refuse.go
@@ -76,7 +76,7 @@
 func (s *State) refuse(r *request, reason Reason, run Run) {
 	reason, run = s.permit(r, reason, run)
 	s.unqueue(r)
-	if s.tell(r) {
+	if s.beginReply(r) {
 		s.emit(Refuse{ID: r.ID, Reason: reason, Run: run, RetryAfter: refusals[reason].retryAfter})
 		s.countRefusal(r.className, reason)
 	}
@@ -89,12 +89,12 @@
 	s.countRefusal(ev.Class, reason)
 }
 
-// tell reports whether the caller may be answered now, which is so exactly once for each request.
-func (s *State) tell(r *request) bool {
-	if r.gone || r.told {
+// beginReply reports whether the caller may be answered now, which is so exactly once for each request.
+func (s *State) beginReply(r *request) bool {
+	if r.callerGone || r.replied {
 		return false
 	}
-	r.told = true
+	r.replied = true
 	return true
 }
 
@@ -126,7 +126,7 @@
 }
 
 func (s *State) replay(r *request, answer *order.Answer) {
-	if s.tell(r) {
+	if s.beginReply(r) {
 		s.emit(Replay{ID: r.ID, Answer: (*Answer)(answer)})
 		s.counters.Replayed++
 	}
@@ -152,7 +152,7 @@
 		return
 	}
 	if ev.Delivered {
-		r.told = true
+		r.replied = true
 		s.forget(r)
 		return
 	}
--- a/lib/core/request.go
+++ b/lib/core/request.go
@@ -24,10 +24,10 @@
 	// booked reports that the order book knows the request; started that the book waits for Finish.
 	booked, started bool
 	relayed         bool
-	// told reports that the terminal effect was sent; it is sent at most once.
-	told bool
-	// gone reports that the caller left.
-	gone bool
+	// replied reports that the terminal effect was sent; it is sent at most once.
+	replied bool
+	// callerGone reports that the caller left.
+	callerGone bool
 	// ended reports that nothing more is sent for the request; it is kept only until its attempts have ended.
 	ended    bool
 	queuedAt time.Duration
@@ -198,10 +198,10 @@
 // stored for a repetition, and an upstream that is cancelled may have run the request all the same.
 func (s *State) cancel(id ident.RequestID) {
 	r := s.requests[id]
-	if r == nil || r.gone {
+	if r == nil || r.callerGone {
 		return
 	}
-	r.gone = true
+	r.callerGone = true
 	s.counters.Cancelled++
 	queued := r.Queued()
 	s.unqueue(r)
--- a/lib/core/topology.go
+++ b/lib/core/topology.go
@@ -48,8 +48,8 @@
 	wanting bool
 	// lastStart is the time of the last attempt.
 	lastStart time.Duration
-	// turn rotates the upstreams that are asked for slots.
-	turn int
+	// rotation is the place of the upstream that is asked for slots first.
+	rotation int
 }
 
 // zone is the part of a service in one data centre.
