--- a/lib/conf/store_test.go
+++ b/lib/conf/store_test.go
@@ -262,7 +262,7 @@
 }
 
 // Guards against hosts that differ at equal versions or go back, whatever the chunks, repetitions, retention, restarts and
-// checkpoints. It fails if install accepts an older checkpoint, if search accepts one with a gap, if decide
+// checkpoints. It fails if install accepts an older checkpoint, if Apply takes a gap for the next records, if decide
 // ignores earlier decisions, or if Apply skips the offset check.
 func TestStoresAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
