sardinectl: Add the operators' commands

Cause: operators publish targets and take data centres and upstreams out of service only through this tool. Change: class set and list, out, back, status, settings check, keys; exit codes 0 to 4; proposals count as accepted only after they were read back, an unanswered one is read for and repeated under its ID; then the hosts are asked for the version in force. The last data centre in service is not taken out without -force. Ruled out: trusting the answer of an append (another operator's record may precede it), failing when some hosts lag (the change is accepted; the output names them).

--- /dev/null
+++ b/sardinectl/main_test.go
@@ -0,0 +1,244 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sardinecross.example/lib/applog"
+	"sardinecross.example/lib/common/ident"
+	"sardinecross.example/lib/conf"
+	"sardinecross.example/lib/roster"
+)
+
+// site is a log, a host list and a host in one fake.
+type site struct {
+	records []applog.Record
+	// onAppend decides the next appends: whether each takes effect, and its error.
+	onAppend []func() (applied bool, err error)
+	readErr  error
+	entries  []roster.Entry
+	version  atomic.Int64
+	settings string
+}
+
+var (
+	errNotApplied = &applog.NotAppliedError{Stream: "config", Err: context.Canceled}
+	errUnanswered = &applog.UnansweredError{Stream: "config", Err: context.Canceled}
+)
+
+func (s *site) Append(_ context.Context, _ string, data []byte) (int64, error) {
+	applied, err := true, error(nil)
+	if len(s.onAppend) > 0 {
+		applied, err = s.onAppend[0]()
+		s.onAppend = s.onAppend[1:]
+	}
+	if applied {
+		s.add(data)
+	}
+	return int64(len(s.records) - 1), err
+}
+
+func (s *site) add(data []byte) {
+	s.records = append(s.records, applog.Record{Offset: int64(len(s.records)), Data: data})
+	s.version.Store(int64(len(s.records) - 1))
+}
+
+func (s *site) Read(_ context.Context, _ string, from int64, _ int) (applog.Batch, error) {
+	n := int64(len(s.records))
+	return applog.Batch{Records: s.records[min(from, n):], Next: n}, s.readErr
+}
+
+func (s *site) Close() {}
+
+type siteList struct{ *site }
+
+func (l siteList) Read(context.Context) ([]roster.Entry, error) { return l.entries, nil }
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{}
+	for _, dc := range []ident.DataCentre{"passau", "landshut"} {
+		s.entries = append(s.entries, roster.Entry{ID: string(dc), DataCentre: dc})
+	}
+	s.version.Store(-1)
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, `{"host":"passau-1","configuration":{"version":%d,"age":"1s"},"inService":true}`, s.version.Load())
+	}))
+	t.Cleanup(host.Close)
+	s.settings = filepath.Join(t.TempDir(), "ops.json")
+	writeFile(t, s.settings, `{"platform": {"log": "127.0.0.1:1", "hostList": "127.0.0.1:2"}, "admin": ["`+host.Listener.Addr().String()+`"]}`)
+	return s
+}
+
+func writeFile(t *testing.T, name, text string) {
+	t.Helper()
+	if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// run runs a command line against the site.
+func (s *site) run(t *testing.T, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	var out, errOut bytes.Buffer
+	tool := newTool(&out, &errOut)
+	tool.openLog = func(string) logClient { return s }
+	tool.openList = func(string) hostList { return siteList{s} }
+	tool.poll, tool.repeatAfter = time.Millisecond, 20*time.Millisecond
+	code = tool.run(t.Context(), append([]string{"-settings", s.settings}, args...))
+	return code, out.String(), errOut.String()
+}
+
+func assertRun(t *testing.T, s *site, wantCode int, wantText string, args ...string) {
+	t.Helper()
+	code, out, errOut := s.run(t, args...)
+	if code != wantCode || !strings.Contains(out+errOut, wantText) {
+		t.Fatalf("%v: exit code %d, want %d with %q\n%s%s", args, code, wantCode, wantText, out, errOut)
+	}
+}
+
+func always(applied bool, err error) func() (bool, error) {
+	return func() (bool, error) { return applied, err }
+}
+
+var setOrders = []string{"class", "set", "orders", "-service", "booking", "-target", "50ms", "-deadline", "2s"}
+
+func TestPublishClass(t *testing.T) {
+	s := newSite(t)
+	assertRun(t, s, exitDone, "class/orders accepted as version 0\nin force on 1 of 1 hosts", setOrders...)
+	assertRun(t, s, exitDone, "class/orders accepted as version 1", "class", "set", "orders", "-target", "80ms")
+	assertRun(t, s, exitDone, "orders  booking  80ms    2s        false       1     1", "class", "list")
+	assertRun(t, s, exitDone, `"target": "80ms"`, "class", "list", "-json")
+	assertRun(t, s, exitDone, "unchanged as version 1", "class", "set", "orders", "-rank", "1")
+	assertRun(t, s, exitUsage, "target: is not above zero", "class", "set", "x", "-service", "s")
+}
+
+// Guards against "accepted" without a record that was read back, and against a lost answer reported as a failure.
+func TestLostAnswers(t *testing.T) {
+	t.Run("applied", func(t *testing.T) {
+		s := newSite(t)
+		s.onAppend = append(s.onAppend, always(true, errUnanswered))
+		assertRun(t, s, exitDone, "accepted as version 0", setOrders...)
+	})
+	t.Run("lost and repeated", func(t *testing.T) {
+		s := newSite(t)
+		s.onAppend = append(s.onAppend, always(false, errUnanswered))
+		assertRun(t, s, exitDone, "accepted as version 0", setOrders...)
+	})
+	t.Run("never seen", func(t *testing.T) {
+		s := newSite(t)
+		s.onAppend = append(s.onAppend, func() (bool, error) {
+			s.readErr = &applog.ReadError{Err: context.Canceled}
+			return false, errUnanswered
+		})
+		assertRun(t, s, exitUnknown, "outcome unknown", append([]string{"-timeout", "50ms"}, setOrders...)...)
+	})
+	t.Run("certainly not applied", func(t *testing.T) {
+		s := newSite(t)
+		s.onAppend = append(s.onAppend, always(false, errNotApplied))
+		assertRun(t, s, exitFailed, "not applied", setOrders...)
+	})
+}
+
+// Guards against an operator who overwrites another one's change.
+func TestConflict(t *testing.T) {
+	s := newSite(t)
+	s.onAppend = append(s.onAppend, func() (bool, error) {
+		other, err := conf.NewProposal(conf.Proposal{ID: "other", Item: conf.DataCentreItem("passau"), Base: conf.NoVersion})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.add(other)
+		return true, nil
+	})
+	assertRun(t, s, exitConflict, "conflict", "out", "dataCentre", "passau")
+}
+
+// Guards against a command that takes the whole site out of service.
+func TestLastDataCentre(t *testing.T) {
+	s := newSite(t)
+	assertRun(t, s, exitDone, "accepted", "out", "dataCentre", "passau")
+	assertRun(t, s, exitFailed, "last data centre", "out", "dataCentre", "landshut")
+	assertRun(t, s, exitFailed, "no data centre", "out", "dataCentre", "landhsut")
+	assertRun(t, s, exitDone, "data centres out: [passau]", "status")
+	assertRun(t, s, exitDone, "accepted", "back", "dataCentre", "passau")
+	assertRun(t, s, exitDone, "accepted", "out", "dataCentre", "landshut", "-force")
+	assertRun(t, s, exitDone, "accepted", "out", "upstream", "booking-1")
+	assertRun(t, s, exitDone, `"booking-1"`, "status", "-json")
+}
+
+// Guards against "in force" for hosts that have not the version or do not answer.
+func TestInForceSaysWhereNot(t *testing.T) {
+	behind := hostStatus{Address: "a", Host: "passau-1"}
+	f := countInForce([]hostStatus{behind, {Address: "b", Error: "refused"}}, 3)
+	if want := "in force on 0 of 2 hosts\n  not on a passau-1: has version 0\n  not on b : refused\n"; f.text() != want {
+		t.Fatalf("got %q", f.text())
+	}
+}
+
+func TestUsage(t *testing.T) {
+	s := newSite(t)
+	for _, c := range commands() {
+		args := append(strings.Fields(c.name), "--help")
+		assertRun(t, s, exitDone, "Examples:\n  sardinectl "+c.examples[0], args...)
+	}
+	assertRun(t, s, exitDone, "Exit codes", "--help")
+	assertRun(t, s, exitDone, "sardinectl ", "--version")
+	for _, line := range []string{"", "fly", "out passau", "out host passau-1", "status -x", "class set", "keys host -ca x", "status -settings="} {
+		if code, out, _ := s.run(t, strings.Fields(line)...); code != exitUsage || out != "" {
+			t.Errorf("%q: exit code %d, output %q", line, code, out)
+		}
+	}
+}
+
+func TestSettingsCheck(t *testing.T) {
+	s := newSite(t)
+	assertRun(t, s, exitDone, "ok", "settings", "check", "-program", "sardinectl", s.settings)
+	assertRun(t, s, exitUsage, ":1:1: host: is missing", "settings", "check", s.settings)
+	assertRun(t, s, exitUsage, "no such file", "settings", "check", s.settings+"x")
+	writeFile(t, s.settings, `{"admin": []}`)
+	assertRun(t, s, exitUsage, "admin: length 0 is below 1", "status")
+}
+
+// Guards against certificates that hosts do not accept from each other.
+func TestKeys(t *testing.T) {
+	s := newSite(t)
+	_, ca, _ := s.run(t, "keys", "ca", "-site", "hofbauer")
+	file := filepath.Join(t.TempDir(), "ca.pem")
+	writeFile(t, file, ca)
+	code, identity, errOut := s.run(t, "keys", "host", "-ca", file, "-id", "passau-1", "-address", "127.0.1.1")
+	if code != exitDone {
+		t.Fatal(errOut)
+	}
+	pair, err := tls.X509KeyPair([]byte(identity), []byte(identity))
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM([]byte(ca))
+	for _, name := range []string{"passau-1", "127.0.1.1"} {
+		_, err = pair.Leaf.Verify(x509.VerifyOptions{
+			DNSName: name, Roots: pool, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	writeFile(t, file, identity)
+	var notCA *notCAError
+	if _, err := loadCA(file); !errors.As(err, &notCA) {
+		t.Fatalf("a host's certificate may sign: %v", err)
+	}
+}
