runner: Bound the time of slow callers and of closing

A caller that does not read its answer blocked the copying goroutine for up to an hour after the attempt's deadline, and the upstream's slot with it. The sink now gets the attempt's remaining time as its write deadline. Close waited for the deadline of each attempt; it now aborts them. RelayEnded follows a relay whose caller has left, too. A relayed answer that does not have its announced length counts as incomplete.

--- a/sardined/front/front.go
+++ b/sardined/front/front.go
@@ -28,8 +28,8 @@
 	bodyTimeout = 10 * time.Second
 	// idleTimeout closes connections that a caller keeps but no longer uses.
 	idleTimeout = 2 * time.Minute
-	// writeGrace is given to a slow caller after the time that its request may take.
-	writeGrace = 5 * time.Second
+	// writeTime is given to a slow caller for an answer that no upstream waits for.
+	writeTime = 5 * time.Second
 )
 
 // Backend runs requests; runner.Runner is one.
@@ -197,7 +197,6 @@
 	}
 	defer release()
 	r.Body = body
-	sink.timeout = r.Timeout
 	finish(sink, s.deps.Backend.Serve(req.Context(), r, sink))
 }
 
--- a/sardined/front/sink.go
+++ b/sardined/front/sink.go
@@ -19,8 +19,8 @@
 	head bool
 	// unread reports that the request has a body that was not read to its end.
 	unread bool
-	// timeout is the time that the caller gave the request, zero if it gave none.
-	timeout time.Duration
+	// left is the time that the answer may take.
+	left time.Duration
 }
 
 var _ runner.Sink = (*sink)(nil)
@@ -31,17 +31,17 @@
 		ctl:    http.NewResponseController(w),
 		head:   req.Method == http.MethodHead,
 		unread: req.ContentLength != 0,
+		left:   writeTime,
 	}
 }
 
+// Expire implements runner.Sink.
+func (s *sink) Expire(left time.Duration) { s.left = left }
+
 // Head implements runner.Sink.
 func (s *sink) Head(status int, header http.Header, length int64) error {
 	// Every answer sets the deadline, since one set for an earlier request on the connection may have passed.
-	timeout := s.timeout
-	if timeout == 0 {
-		timeout = maxTimeout
-	}
-	if err := s.ctl.SetWriteDeadline(time.Now().Add(timeout + writeGrace)); err != nil {
+	if err := s.ctl.SetWriteDeadline(time.Now().Add(s.left)); err != nil {
 		return err
 	}
 	h := s.w.Header()
--- a/sardined/front/whole_test.go
+++ b/sardined/front/whole_test.go
@@ -182,7 +182,7 @@
 	return resp, string(body), err
 }
 
-func (h *host) connect(t *testing.T) *net.TCPConn {
+func (h *host) connect(t testing.TB) *net.TCPConn {
 	t.Helper()
 	c, err := net.Dial("tcp", h.Address().String())
 	if err != nil {
@@ -398,6 +398,36 @@
 	})
 }
 
+// A caller that does not read its answer must not hold the upstream's slot beyond the deadline.
+func TestCallerDoesNotRead(t *testing.T) {
+	h := newHost(t, func(w http.ResponseWriter, _ *http.Request) {
+		for part := strings.Repeat("x", 1<<20); ; {
+			if _, err := io.WriteString(w, part); err != nil {
+				return
+			}
+		}
+	}, nil)
+	c := h.connect(t)
+	defer c.Close()
+	io.WriteString(c, post1+"X-Request-Timeout: 300\r\nContent-Length: 0\r\n\r\n")
+	if e := <-h.reducer.ended; e.Outcome != core.OutcomeDeadline {
+		t.Errorf("outcome %d", e.Outcome)
+	}
+}
+
+// Closing the daemon must not wait for an upstream.
+func TestCloseEndsAttempts(t *testing.T) {
+	arrived := make(chan struct{})
+	h := newHost(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-r.Context().Done()
+	}, nil)
+	c := h.connect(t)
+	defer c.Close()
+	io.WriteString(c, post1+"X-Request-Timeout: 3000000\r\nContent-Length: 0\r\n\r\n")
+	<-arrived
+}
+
 // One caller must not take all connections.
 func TestConnectionLimit(t *testing.T) {
 	h := newHost(t, func(http.ResponseWriter, *http.Request) {}, func(cfg *Config) { cfg.ConnectionsPerCaller = 1 })
--- a/sardined/peer/peer_test.go
+++ b/sardined/peer/peer_test.go
@@ -36,6 +36,8 @@
 	body   []byte
 }
 
+func (s *recorder) Expire(time.Duration) {}
+
 func (s *recorder) Head(status int, header http.Header, length int64) error {
 	s.status, s.header, s.length = status, header, length
 	return nil
--- a/sardined/peer/relay.go
+++ b/sardined/peer/relay.go
@@ -130,7 +130,7 @@
 			return true, err
 		}
 		if len(chunk) == 0 {
-			break
+			return true, checkLength(head, read)
 		}
 		read += int64(len(chunk))
 		if _, err := sink.Write(chunk); err != nil {
@@ -142,7 +142,14 @@
 			}
 		}
 	}
-	return true, nil
+}
+
+// checkLength reports an answer that does not have its announced length. The answer to HEAD has no body.
+func checkLength(head wireAnswer, read int64) error {
+	if head.Length >= 0 && read > 0 && read != head.Length {
+		return &RangeError{Field: "length", Value: read}
+	}
+	return nil
 }
 
 func readAnswerHead(r io.Reader) (wireAnswer, error) {
@@ -184,7 +191,7 @@
 		return
 	}
 	defer release()
-	sink := &streamSink{w: bufio.NewWriterSize(stream, chunkBytes+lengthBytes)}
+	sink := &streamSink{stream: stream, w: bufio.NewWriterSize(stream, chunkBytes+lengthBytes)}
 	if err := l.handler.Serve(stream.Context(), req, sink); err != nil {
 		abort(stream)
 		return
@@ -265,10 +272,19 @@
 }
 
 // streamSink writes an answer to the stream of a relayed request.
-type streamSink struct{ w *bufio.Writer }
+type streamSink struct {
+	stream *quic.Stream
+	w      *bufio.Writer
+}
 
 var _ runner.Sink = (*streamSink)(nil)
 
+// Expire implements runner.Sink.
+func (s *streamSink) Expire(left time.Duration) {
+	// A deadline that cannot be set belongs to a stream whose writes fail.
+	_ = s.stream.SetWriteDeadline(time.Now().Add(left))
+}
+
 // Head implements runner.Sink.
 func (s *streamSink) Head(status int, header http.Header, length int64) error {
 	return writeFrame(s.w, wireAnswer{Status: status, Header: header, Length: length}, maxAnswerHeadBytes)
--- a/sardined/proxy/client.go
+++ b/sardined/proxy/client.go
@@ -175,7 +175,7 @@
 	nonce   string
 }
 
-// NewAttempt prepares an attempt; Do or Cancel must follow.
+// NewAttempt prepares an attempt; Do or Abort must follow.
 func (c *Client) NewAttempt(req Request) *Attempt {
 	a := &Attempt{client: c, req: req, started: c.cfg.Now()}
 	a.guard.startBy, a.guard.now = req.StartBy, c.cfg.Now
@@ -191,6 +191,9 @@
 	}
 }
 
+// Abort ends the attempt at once, even if that interrupts the upstream.
+func (a *Attempt) Abort() { a.cancel() }
+
 // Do sends the request and reads the head of the answer. Without an answer the result is final;
 // otherwise Answer.Copy gives the result.
 func (a *Attempt) Do() (*Answer, Result) {
--- a/sardined/runner/attempt.go
+++ b/sardined/runner/attempt.go
@@ -12,6 +12,7 @@
 	n    int
 	call *call
 	*proxy.Attempt
+	deadline time.Duration
 	// deliver holds one token once the reducer chose this attempt's answer.
 	deliver chan struct{}
 }
@@ -27,10 +28,11 @@
 	}
 	now := r.Now()
 	a := &attempt{
-		n:       e.Attempt,
-		call:    c,
-		Attempt: r.deps.Upstreams.NewAttempt(c.upstreamRequest(e)),
-		deliver: make(chan struct{}, 1),
+		n:        e.Attempt,
+		call:     c,
+		Attempt:  r.deps.Upstreams.NewAttempt(c.upstreamRequest(e)),
+		deadline: e.Deadline,
+		deliver:  make(chan struct{}, 1),
 	}
 	r.callsMu.Lock()
 	c.users++
@@ -46,7 +48,7 @@
 		r.runAttempt(a)
 	})
 	if !started {
-		a.Cancel()
+		a.Abort()
 		r.leave(c)
 	}
 }
@@ -74,7 +76,7 @@
 	})
 	select {
 	case <-a.deliver:
-		w := a.call.startAnswer(answer)
+		w := a.call.startAnswer(answer, a.deadline-r.Now())
 		result = answer.Copy(w)
 		a.call.setSpent(result.Took)
 		r.ended(a, result)
@@ -162,7 +164,7 @@
 }
 
 // startAnswer writes the head of an answer.
-func (c *call) startAnswer(answer *proxy.Answer) *bodyWriter {
+func (c *call) startAnswer(answer *proxy.Answer, left time.Duration) *bodyWriter {
 	w := &bodyWriter{call: c, flush: answer.Length < 0}
 	answer.Header["X-Run"] = []string{core.RunYes.String()}
 	c.mu.Lock()
@@ -171,6 +173,7 @@
 		w.err = &GoneError{}
 		return w
 	}
+	c.sink.Expire(left)
 	w.err = c.sink.Head(answer.Status, answer.Header, answer.Length)
 	return w
 }
--- a/sardined/runner/call.go
+++ b/sardined/runner/call.go
@@ -33,6 +33,9 @@
 
 // Sink takes one answer. It is used by one goroutine at a time, and not after Serve has returned.
 type Sink interface {
+	// Expire bounds the time that the answer may take; it is called before Head, if at all. A caller that reads
+	// slowly must not hold an upstream's slot beyond the deadline of the attempt.
+	Expire(left time.Duration)
 	// Head starts the answer. A negative length means that the length is not known. The sink may keep the header.
 	Head(status int, header http.Header, length int64) error
 	Write(p []byte) (int, error)
@@ -218,14 +221,18 @@
 	left := e.Deadline - r.Now()
 	relayCtx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
+	c.sink.Expire(left)
 	req := *c.req
 	req.Timeout, req.Relayed = max(left, time.Millisecond), true
 	passed, err := r.deps.Links.Relay(relayCtx, e.To, &req, c.sink)
-	if ctx.Err() != nil && !passed {
+	gone := ctx.Err() != nil
+	if gone {
 		r.Step(core.RequestCancelled{ID: c.id})
-		return false, &GoneError{}
 	}
 	r.Step(core.RelayEnded{ID: c.id, Delivered: passed})
+	if gone {
+		return false, &GoneError{}
+	}
 	if !passed {
 		return true, nil
 	}
--- a/sardined/runner/runner.go
+++ b/sardined/runner/runner.go
@@ -225,6 +225,9 @@
 	r.closed = true
 	for _, c := range r.calls {
 		c.abort()
+		for _, a := range c.attempts {
+			a.Abort()
+		}
 	}
 	r.callsMu.Unlock()
 	r.cancel()
