sardined: Measure the added time

BenchmarkAdded sends one request each millisecond over loopback, with caller, daemon and upstream in one process of 10 processors on a shared machine.

--- a/sardined/daemon.go
+++ b/sardined/daemon.go
@@ -49,6 +49,8 @@
 	applyRuntime(s.Runtime)
 	level := new(slog.LevelVar)
 	logger := newLogger(s, logOutput, level)
+	// Libraries log through the standard logger.
+	slog.SetDefault(logger)
 	metrics := metric.New()
 	clock := runner.NewClock()
 	incarnation := runner.NewIncarnation()
--- a/sardined/daemon_test.go
+++ b/sardined/daemon_test.go
@@ -180,6 +180,7 @@
 		"dataCentres": ["passau"],
 		"services": {"booking": {"slots": 4}},
 		"timing": {"addressLifetime": "100ms"},
+		"runtime": {"processors": 10},
 	}`, id, p.callers, peers, p.admin, s.log.Listener.Addr(), s.hostList.Listener.Addr(),
 		filepath.Join(s.dir, "ca.pem"), filepath.Join(s.dir, id+".pem")), 0o600))
 	settings, err := config.LoadDaemon(file)
