--- a/sardined/proxy/client.go
+++ b/sardined/proxy/client.go
@@ -197,7 +197,7 @@
 // Do sends the request and reads the head of the answer. Without an answer the result is final;
 // otherwise Answer.Copy gives the result.
 func (a *Attempt) Do() (*Answer, Result) {
-	resp, err := a.client.transport(a.req.Address).RoundTrip(a.request())
+	resp, err := a.send()
 	if err != nil {
 		defer a.cancel()
 		return nil, a.result(a.failure(err), err)
@@ -210,6 +210,18 @@
 	return a.answer(resp), Result{}
 }
 
+// send sends the request. A kept connection may turn out to be closed before a byte has left; the request then goes to another one.
+func (a *Attempt) send() (*http.Response, error) {
+	transport := a.client.transport(a.req.Address)
+	for n := 1; ; n++ {
+		a.guard.connected.Store(false)
+		resp, err := transport.RoundTrip(a.request())
+		if err == nil || n > a.client.cfg.MaxConns || !a.guard.unused() || a.ctx.Err() != nil {
+			return resp, err
+		}
+	}
+}
+
 func (a *Attempt) request() *http.Request {
 	ctx := httptrace.WithClientTrace(withGuard(a.ctx, &a.guard), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
--- a/sardined/proxy/guard.go
+++ b/sardined/proxy/guard.go
@@ -40,6 +40,11 @@
 	return g.state.CompareAndSwap(guardOpen, guardSealed) || g.state.Load() == guardSealed
 }
 
+// unused reports whether the attempt got a connection on which nothing was written, and may still be sent.
+func (g *guard) unused() bool {
+	return g.connected.Load() && g.state.Load() == guardOpen && g.now() <= g.startBy
+}
+
 // admit reports whether c may write for the attempt.
 func (g *guard) admit(c *conn) bool {
 	if g.state.Load() == guardSent {
