sardinectl: Keep time to read back an unanswered append

Cause: the log client has no timeout of its own, so an append that the log never answered used up the time of the command and ended as "outcome unknown". Change: each append and read ends after 2 s, reading back goes on until -timeout.

--- a/sardinectl/main.go
+++ b/sardinectl/main.go
@@ -47,6 +47,8 @@
 	openList       func(address string) hostList
 	// poll is the time between two attempts to read the log or the hosts.
 	poll time.Duration
+	// callTimeout ends one append or read, so that time is left to read for an append that was not answered.
+	callTimeout time.Duration
 	// repeatAfter is the time after which an unanswered proposal that does not appear in the log is appended again. The repetition carries the
 	// same ID and is decided once.
 	repeatAfter time.Duration
@@ -63,6 +65,7 @@
 		stderr:      stderr,
 		openLog:     func(address string) logClient { return applog.New(address) },
 		openList:    func(address string) hostList { return roster.New(address) },
+		callTimeout: 2 * time.Second,
 		poll:        100 * time.Millisecond,
 		repeatAfter: time.Second,
 	}
--- a/sardinectl/main_test.go
+++ b/sardinectl/main_test.go
@@ -27,6 +27,8 @@
 	records []applog.Record
 	// onAppend decides the next appends: whether each takes effect, and its error.
 	onAppend []func() (applied bool, err error)
+	// silent makes appends take effect without an answer.
+	silent   bool
 	readErr  error
 	entries  []roster.Entry
 	version  atomic.Int64
@@ -38,7 +40,12 @@
 	errUnanswered = &applog.UnansweredError{Stream: "config", Err: context.Canceled}
 )
 
-func (s *site) Append(_ context.Context, _ string, data []byte) (int64, error) {
+func (s *site) Append(ctx context.Context, _ string, data []byte) (int64, error) {
+	if s.silent {
+		s.add(data)
+		<-ctx.Done()
+		return 0, errUnanswered
+	}
 	applied, err := true, error(nil)
 	if len(s.onAppend) > 0 {
 		applied, err = s.onAppend[0]()
@@ -55,7 +62,10 @@
 	s.version.Store(int64(len(s.records) - 1))
 }
 
-func (s *site) Read(_ context.Context, _ string, from int64, _ int) (applog.Batch, error) {
+func (s *site) Read(ctx context.Context, _ string, from int64, _ int) (applog.Batch, error) {
+	if ctx.Err() != nil {
+		return applog.Batch{}, &applog.ReadError{Err: ctx.Err()}
+	}
 	n := int64(len(s.records))
 	return applog.Batch{Records: s.records[min(from, n):], Next: n}, s.readErr
 }
@@ -96,7 +106,7 @@
 	tool := newTool(&out, &errOut)
 	tool.openLog = func(string) logClient { return s }
 	tool.openList = func(string) hostList { return siteList{s} }
-	tool.poll, tool.repeatAfter = time.Millisecond, 20*time.Millisecond
+	tool.poll, tool.repeatAfter, tool.callTimeout = time.Millisecond, 20*time.Millisecond, 100*time.Millisecond
 	code = tool.run(t.Context(), append([]string{"-settings", s.settings}, args...))
 	return code, out.String(), errOut.String()
 }
@@ -132,6 +142,11 @@
 		s.onAppend = append(s.onAppend, always(true, errUnanswered))
 		assertRun(t, s, exitDone, "accepted as version 0", setOrders...)
 	})
+	t.Run("never answered", func(t *testing.T) {
+		s := newSite(t)
+		s.silent = true
+		assertRun(t, s, exitDone, "accepted as version 0", setOrders...)
+	})
 	t.Run("lost and repeated", func(t *testing.T) {
 		s := newSite(t)
 		s.onAppend = append(s.onAppend, always(false, errUnanswered))
--- a/sardinectl/propose.go
+++ b/sardinectl/propose.go
@@ -42,7 +42,7 @@
 func (s *session) catchUp(ctx context.Context) error {
 	for {
 		from := s.store.Next()
-		b, err := s.log.Read(ctx, string(core.StreamConfig), from, applog.MaxBatch)
+		b, err := s.read(ctx, from)
 		if err != nil {
 			return err
 		}
@@ -60,6 +60,19 @@
 	}
 }
 
+func (s *session) read(ctx context.Context, from int64) (applog.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.tool.callTimeout)
+	defer cancel()
+	return s.log.Read(ctx, string(core.StreamConfig), from, applog.MaxBatch)
+}
+
+func (s *session) append(ctx context.Context, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, s.tool.callTimeout)
+	defer cancel()
+	_, err := s.log.Append(ctx, string(core.StreamConfig), data)
+	return err
+}
+
 // wait pauses between two attempts.
 func (t *tool) wait(ctx context.Context) error {
 	select {
@@ -108,7 +121,7 @@
 	if err != nil {
 		return conf.Decision{}, &usageError{Problem: err.Error()}
 	}
-	if _, err := s.log.Append(ctx, string(core.StreamConfig), data); err != nil {
+	if err := s.append(ctx, data); err != nil {
 		var notApplied *applog.NotAppliedError
 		if errors.As(err, &notApplied) {
 			return conf.Decision{}, err
@@ -140,7 +153,7 @@
 		}
 		if err == nil && time.Now().After(repeat) {
 			// Whatever becomes of the repetition, reading decides.
-			_, _ = s.log.Append(ctx, string(core.StreamConfig), data)
+			_ = s.append(ctx, data)
 			repeat = time.Now().Add(s.tool.repeatAfter)
 		}
 	}
