proofs: Measure what a host costs by the size of the site

The capacity page needs slopes, not single figures. make slopes starts sites of 4 to 30 hosts with the stand-ins and prints processor time, memory, messages, datagrams and reads of each host against the number of hosts, upstreams, classes, changes, requests and held request IDs, with a least squares fit. The first host dials all others through counting links, since the daemon's own counters leave out the overhead of QUIC. Reading the packet counters of the loopback interface was ruled out: it is shared with every other process of the machine. A build tag keeps the measurement out of make test, since it asserts nothing about the figures.

--- a/Makefile
+++ b/Makefile
@@ -28,9 +28,20 @@
 proofs: build
 	cd proofs && go test -count=1 -timeout 15m ./...
 
+# Measures against targets and baselines; results are in out/ and, as recorded, in docs/measurements.md.
+bench: build
+	cd proofs && go test -tags bench -run 'TestBench$$' -count=1 -v -timeout 16m .
+
+bench-quick: build
+	cd proofs && SARDINE_BENCH=quick go test -tags bench -run 'TestBench$$' -count=1 -v -timeout 2m .
+
 model:
 	spec/check
 
+# Prints the measured points behind docs/CAPACITY.md; no part of make test.
+slopes: build
+	cd proofs && go test -tags slopes -run TestSlopes -count=1 -v -timeout 15m .
+
 test: lint unit model proofs
 
 demo: build
--- /dev/null
+++ b/proofs/slopes_link_test.go
@@ -0,0 +1,76 @@
+//go:build slopes
+
+package proofs
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+// countingLink forwards the datagrams of one dialling host and counts them.
+type countingLink struct {
+	sent, received struct{ datagrams, bytes atomic.Int64 }
+	in, out        *net.UDPConn
+	running        sync.WaitGroup
+	dialler        atomic.Pointer[net.UDPAddr]
+}
+
+func newCountingLink(t *testing.T, target string) *countingLink {
+	t.Helper()
+	in, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr, err := net.ResolveUDPAddr("udp", target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := net.DialUDP("udp", nil, addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &countingLink{in: in, out: out}
+	l.running.Go(l.forward)
+	l.running.Go(l.backward)
+	t.Cleanup(func() {
+		in.Close()
+		out.Close()
+		l.running.Wait()
+	})
+	return l
+}
+
+func (l *countingLink) addr() string { return l.in.LocalAddr().String() }
+
+func (l *countingLink) forward() {
+	buf := make([]byte, 64<<10)
+	for {
+		n, from, err := l.in.ReadFromUDP(buf)
+		if err != nil {
+			return
+		}
+		l.dialler.Store(from)
+		l.sent.datagrams.Add(1)
+		l.sent.bytes.Add(int64(n))
+		_, _ = l.out.Write(buf[:n])
+	}
+}
+
+func (l *countingLink) backward() {
+	buf := make([]byte, 64<<10)
+	for {
+		n, err := l.out.Read(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		// A target that does not listen yet is reported as a refused read.
+		if to := l.dialler.Load(); err == nil && to != nil {
+			l.received.datagrams.Add(1)
+			l.received.bytes.Add(int64(n))
+			_, _ = l.in.WriteToUDP(buf[:n], to)
+		}
+	}
+}
