--- /dev/null
+++ b/standin/main_test.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// Mistakes must end the program with code 2 and their position, and an address in use with code 1.
+func TestRun(t *testing.T) {
+	dir := t.TempDir()
+	for name, c := range map[string]struct {
+		args     []string
+		settings string
+		code     int
+		stderr   string
+	}{
+		"nothing":            {nil, "", exitUsage, "usage:"},
+		"unknown stand-in":   {[]string{"clock", "-listen", "127.0.0.1:1", "-control", "127.0.0.1:2"}, "", exitUsage, "clock"},
+		"no addresses":       {[]string{"log"}, "", exitUsage, "-listen"},
+		"unknown key":        {[]string{"log"}, `{"lisen": "127.0.0.1:1"}`, exitUsage, ":1:2: lisen"},
+		"unknown service":    {[]string{"upstreams"}, `{"control": "127.0.0.1:1", "services": {"s": {}}, "workers": [{"id": "w", "service": "x", "dataCentre": "p", "address": "127.0.0.1:2"}]}`, exitUsage, "workers: w"},
+		"host without peers": {[]string{"hosts"}, `{"listen": "127.0.0.1:1", "control": "127.0.0.1:2", "entries": [{"id": "h", "role": "host", "dataCentre": "p", "address": "127.0.0.1:3"}]}`, exitUsage, "entries[0].peerAddress"},
+		"not this machine":   {[]string{"log", "-listen", "192.0.2.1:1", "-control", "192.0.2.1:2"}, "", exitFailed, "listen on 192.0.2.1:1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			args := c.args
+			if c.settings != "" {
+				file := filepath.Join(dir, "settings.json")
+				if err := os.WriteFile(file, []byte(c.settings), 0o600); err != nil {
+					t.Fatal(err)
+				}
+				args = append(args, "-settings", file)
+			}
+			var stdout, stderr strings.Builder
+			if code := run(context.Background(), args, &stdout, &stderr); code != c.code || !strings.Contains(stderr.String(), c.stderr) {
+				t.Errorf("code %d, %s; want %d, %s", code, stderr.String(), c.code, c.stderr)
+			}
+		})
+	}
+}
