proxy: Fix the deadline of an attempt at its start

X-Request-Deadline was computed when the request was built, so a host frozen between the decision and the send gave the upstream a later deadline. The new test failed with a deadline 3 ms later after a pause of 3 ms. Probes sent a negative time left; they now send their own.

--- a/sardined/proxy/client.go
+++ b/sardined/proxy/client.go
@@ -172,12 +172,17 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	started time.Duration
+	// expires is the deadline on the wall clock. It is taken at the start, so that a frozen host does not move it.
+	expires time.Time
 	nonce   string
 }
 
 // NewAttempt prepares an attempt; Do or Abort must follow.
 func (c *Client) NewAttempt(req Request) *Attempt {
+	// The wall clock is read first: a pause in between makes the deadline earlier, not later.
+	wall := time.Now()
 	a := &Attempt{client: c, req: req, started: c.cfg.Now()}
+	a.expires = wall.Add(req.Deadline - a.started)
 	a.guard.startBy, a.guard.now = req.StartBy, c.cfg.Now
 	a.nonce = strconv.FormatUint(rand.Uint64(), 36)
 	a.ctx, a.cancel = context.WithTimeout(context.Background(), req.Deadline-a.started)
@@ -263,7 +268,7 @@
 	}
 	left := a.req.Deadline - a.started
 	h["X-Request-Timeout"] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
-	h["X-Request-Deadline"] = []string{strconv.FormatInt(time.Now().Add(left).UnixMilli(), 10)}
+	h["X-Request-Deadline"] = []string{strconv.FormatInt(a.expires.UnixMilli(), 10)}
 	h["X-Request-Nonce"] = []string{a.nonce}
 	return h
 }
--- a/sardined/proxy/probe.go
+++ b/sardined/proxy/probe.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"sardinecross.example/lib/core"
 )
@@ -19,14 +20,21 @@
 	State       string `json:"state"`
 }
 
+// probeTimeout is many times the cost of a probe.
+const probeTimeout = time.Second
+
 // Probe asks an upstream for its load report.
 func (c *Client) Probe(ctx context.Context, address string) (core.LoadReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
 	a := &Attempt{
 		client:  c,
 		req:     Request{Address: address, Method: http.MethodGet, Path: "/load", Idempotent: true},
 		ctx:     ctx,
 		started: c.cfg.Now(),
+		expires: time.Now().Add(probeTimeout),
 	}
+	a.req.Deadline = a.started + probeTimeout
 	a.guard.startBy, a.guard.now = math.MaxInt64, c.cfg.Now
 	resp, err := c.transport(address).RoundTrip(a.request())
 	if err != nil {
--- a/sardined/proxy/proxy_test.go
+++ b/sardined/proxy/proxy_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -324,6 +325,20 @@
 	}
 }
 
+// A host that is frozen between the decision and the send must not give the upstream a later deadline.
+func TestDeadlineIsFixedAtTheStart(t *testing.T) {
+	client := newClient(t)
+	a := client.NewAttempt(Request{Deadline: time.Minute})
+	defer a.Abort()
+	before := a.header().Get("X-Request-Deadline")
+	for start := time.Now(); time.Since(start) < 3*time.Millisecond; {
+		runtime.Gosched()
+	}
+	if after := a.header().Get("X-Request-Deadline"); after != before {
+		t.Errorf("deadline moved from %s to %s", before, after)
+	}
+}
+
 // A stored answer that was cut at the limit would be replayed as a short success.
 func TestCaptureLimit(t *testing.T) {
 	u := newScripted(t, func(int64, *http.Request) string {
--- a/sardined/runner/platform.go
+++ b/sardined/runner/platform.go
@@ -16,8 +16,6 @@
 	readTimeout = time.Second
 	// appendTimeout is long, since giving up on an append leaves its outcome open.
 	appendTimeout = 3 * time.Second
-	// probeTimeout is many times the cost of a probe.
-	probeTimeout = time.Second
 )
 
 func (r *Runner) readLog(e core.ReadLog) {
@@ -91,10 +89,8 @@
 }
 
 func (r *Runner) probe(e core.Probe) {
-	ctx, cancel := context.WithTimeout(r.ctx, probeTimeout)
-	defer cancel()
 	r.deps.Metrics.Probes.Inc(1)
-	report, err := r.deps.Upstreams.Probe(ctx, e.Address)
+	report, err := r.deps.Upstreams.Probe(r.ctx, e.Address)
 	r.Step(core.ProbeEnded{Upstream: e.Upstream, OK: err == nil, Report: report})
 }
 
