--- a/sardined/front/front.go
+++ b/sardined/front/front.go
@@ -185,6 +185,7 @@
 
 func (s *Server) handleRequest(w http.ResponseWriter, req *http.Request) {
 	sink := newSink(w, req)
+	arrived := time.Now()
 	r, bad := s.parseHead(req)
 	if bad != nil {
 		refuse(sink, bad)
@@ -197,6 +198,10 @@
 	}
 	defer release()
 	r.Body = body
+	if r.Timeout > 0 {
+		// The time for the body counts; a request that has none left is refused by the reducer.
+		r.Timeout = max(r.Timeout-time.Since(arrived), 1)
+	}
 	finish(sink, s.deps.Backend.Serve(req.Context(), r, sink))
 }
 
