core: Learn from other hosts which upstreams are leaving

Change: heartbeats carry the age of the sender's reading and the upstreams it knows to be leaving; a newer reading than the own one is believed until the next own reading. It is applied before the pledges of the same heartbeat. Ruled out: dropping pledges for leaving upstreams, since the frozen host pledges to itself in a data centre of two.

--- a/lib/core/helper_test.go
+++ b/lib/core/helper_test.go
@@ -35,6 +35,8 @@
 	streams map[Stream][]Record
 	// logDown makes reads and appends fail; lost makes appends take effect without an answer.
 	logDown, lost bool
+	// listDown makes readings of the host list fail.
+	listDown bool
 	// peers are other hosts that answer heartbeats and grant all slots of their upstreams.
 	peers map[ident.HostID]*peerHost
 	// effects are those since the last call of take, without those of the platform and peers.
@@ -175,6 +177,10 @@
 func (h *host) answer(e Effect) {
 	switch e := e.(type) {
 	case ReadHostList:
+		if h.listDown {
+			h.step(HostListFailed{})
+			return
+		}
 		h.step(HostListRead{Entries: h.entries})
 	case ReadLog:
 		h.readLog(e)
--- a/lib/core/peer.go
+++ b/lib/core/peer.go
@@ -12,11 +12,18 @@
 
 // sendHeartbeats sends the round of heartbeats that is due.
 func (s *State) sendHeartbeats() {
-	for _, out := range s.table.Due(s.now) {
+	due := s.table.Due(s.now)
+	if len(due) == 0 {
+		return
+	}
+	leaving := s.leavingUpstreams()
+	for _, out := range due {
 		hb := out.Heartbeat
 		hb.ConfVersion = s.conf.Version()
 		hb.ConfAge = s.conf.Age(s.now)
 		hb.LogAnswers = s.streams.logAnswers
+		hb.ListAge = s.listAge()
+		hb.LeavingUpstreams = leaving
 		hb.Pledges = s.slots.Pledges(s.now, out.To)
 		s.emit(SendPeer{To: out.To, Message: Message{Heartbeat: &hb}})
 	}
@@ -46,6 +53,8 @@
 	if !receipt.Accepted {
 		return
 	}
+	// Comes before the pledges: they may let this host grant slots of an upstream that is leaving.
+	s.listReported(hb.ListAge, hb.LeavingUpstreams)
 	s.slots.Heartbeat(s.now, from, inc, receipt, hb)
 	if receipt.Echoed {
 		s.conf.Adopt(hb.ConfVersion, hb.ConfAge, receipt.EchoedAt)
--- a/lib/core/peer_test.go
+++ b/lib/core/peer_test.go
@@ -59,6 +59,31 @@
 	}
 }
 
+// Guards against work for an upstream that left while this host was stopped, when the host list is down afterwards.
+func TestLeavingUpstreamFromPeer(t *testing.T) {
+	h := newHost(t, 2)
+	report := func(age time.Duration) {
+		h.step(PeerMessage{From: "passau-2", Incarnation: 8, Message: Message{Heartbeat: &member.Heartbeat{
+			Seq: uint64(h.now), To: 7, DataCentre: "passau", ConfAge: -1, ListAge: age, LeavingUpstreams: []ident.UpstreamID{"u0"},
+		}}})
+	}
+	report(time.Hour)
+	if h.s.topo.upstreams["u0"].leaving {
+		t.Error("an older reading than the own one was believed")
+	}
+	h.listDown = true
+	h.run(10 * time.Second)
+	report(0)
+	if !h.s.topo.upstreams["u0"].leaving {
+		t.Error("a newer reading than the own one was not believed")
+	}
+	h.listDown = false
+	h.run(time.Second)
+	if h.s.topo.upstreams["u0"].leaving {
+		t.Error("the own newer reading was not believed")
+	}
+}
+
 // Guards against a slow upstream that goes on to get normal work, or gets none to show that it recovered.
 func TestEjection(t *testing.T) {
 	h := newHost(t, 4)
--- a/lib/core/topology.go
+++ b/lib/core/topology.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sardinecross.example/lib/common/ident"
+	"sardinecross.example/lib/common/sets"
 	"sardinecross.example/lib/conf"
 	"sardinecross.example/lib/lease"
 	"sardinecross.example/lib/member"
@@ -20,6 +21,10 @@
 	// membership got them.
 	reading, entries []HostEntry
 	listedAt         time.Duration
+	// readAt is the time of the last reading, negative before the first.
+	readAt time.Duration
+	// reported are upstreams that are leaving by a newer reading of another host. An own reading replaces them.
+	reported sets.Set[ident.UpstreamID]
 
 	services  map[ident.ServiceName]*service
 	classes   map[ident.ClassName]*class
@@ -90,6 +95,7 @@
 
 func (t *topology) init(cfg Settings) {
 	t.cfg = cfg
+	t.readAt = -1
 	t.services = map[ident.ServiceName]*service{}
 	t.classes = map[ident.ClassName]*class{}
 	t.upstreams = map[ident.UpstreamID]*upstream{}
@@ -126,7 +132,9 @@
 		return
 	}
 	t := &s.topo
-	changed := !slices.Equal(entries, t.reading)
+	changed := !slices.Equal(entries, t.reading) || len(t.reported) > 0
+	t.readAt = s.now
+	t.reported = nil
 	if changed || s.now-t.listedAt >= time.Second {
 		t.listedAt = s.now
 		s.table.SetList(s.now, memberEntries(entries))
@@ -140,6 +148,44 @@
 	}
 }
 
+// listAge returns the time since the last reading of the host list, negative if there was none.
+func (s *State) listAge() time.Duration {
+	if s.topo.readAt < 0 {
+		return -1
+	}
+	return s.now - s.topo.readAt
+}
+
+// leavingUpstreams returns the upstreams known to be leaving, by ID.
+func (s *State) leavingUpstreams() []ident.UpstreamID {
+	var ids []ident.UpstreamID
+	for _, e := range s.topo.entries {
+		if u := s.topo.upstreams[ident.UpstreamID(e.ID)]; e.Role == RoleUpstream && u != nil && u.leaving {
+			ids = append(ids, u.id)
+		}
+	}
+	return ids
+}
+
+// listReported takes in what another host read of leaving upstreams after the last own reading. Without it, a host that was
+// stopped while an upstream left, and then finds the host list down, would send work to that upstream.
+func (s *State) listReported(age time.Duration, leaving []ident.UpstreamID) {
+	t := &s.topo
+	if age < 0 || s.now-age <= t.readAt {
+		return
+	}
+	changed := false
+	for _, id := range leaving {
+		if u := t.upstreams[id]; u != nil && !u.leaving {
+			t.reported = t.reported.With(id)
+			changed = true
+		}
+	}
+	if changed {
+		s.rebuild()
+	}
+}
+
 func memberEntries(entries []HostEntry) []member.Entry {
 	var hosts []member.Entry
 	for _, e := range entries {
@@ -242,7 +288,8 @@
 		if u == nil || u.service != svc {
 			u = &upstream{id: id, service: svc}
 		}
-		u.dataCentre, u.address, u.leaving = e.DataCentre, e.Address, e.Leaving
+		u.dataCentre, u.address = e.DataCentre, e.Address
+		u.leaving = e.Leaving || t.reported.Has(id)
 		u.out = !g.noOutRule && (t.view.UpstreamOut(id) || t.view.DataCentreOut(e.DataCentre))
 		next[id] = u
 	}
--- a/lib/member/message.go
+++ b/lib/member/message.go
@@ -20,6 +20,10 @@
 	ConfVersion int64
 	// ConfAge is the time since the sender knew its configuration to be current; negative means never.
 	ConfAge time.Duration
+	// ListAge is the time since the sender's last reading of the host list; negative means never.
+	ListAge time.Duration
+	// LeavingUpstreams are those that the sender knows to be leaving.
+	LeavingUpstreams []ident.UpstreamID
 	// LogAnswers reports that the sender's last read of the log succeeded.
 	LogAnswers bool
 	// Pledges are those of the sender that name the addressee as the owner.
--- a/sardined/peer/wire.go
+++ b/sardined/peer/wire.go
@@ -80,6 +80,9 @@
 	ConfAge     time.Duration     `cbor:"7,keyasint"`
 	LogAnswers  bool              `cbor:"8,keyasint,omitempty"`
 	Pledges     []wirePledge      `cbor:"9,keyasint,omitempty"`
+	// ListAge and LeavingUpstreams describe the sender's view of the host list.
+	ListAge          time.Duration      `cbor:"10,keyasint"`
+	LeavingUpstreams []ident.UpstreamID `cbor:"11,keyasint,omitempty"`
 }
 
 type wirePledge struct {
@@ -366,6 +369,9 @@
 		ConfAge:     h.ConfAge,
 		LogAnswers:  h.LogAnswers,
 		Pledges:     each(h.Pledges, func(p member.Pledge) wirePledge { return wirePledge(p) }),
+
+		ListAge:          h.ListAge,
+		LeavingUpstreams: h.LeavingUpstreams,
 	}
 }
 
@@ -380,6 +386,9 @@
 		ConfAge:     w.ConfAge,
 		LogAnswers:  w.LogAnswers,
 		Pledges:     each(w.Pledges, func(p wirePledge) member.Pledge { return member.Pledge(p) }),
+
+		ListAge:          w.ListAge,
+		LeavingUpstreams: w.LeavingUpstreams,
 	}
 }
 
--- a/sardined/peer/wire_test.go
+++ b/sardined/peer/wire_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"sardinecross.example/lib/common/ident"
 	"sardinecross.example/lib/conf"
 	"sardinecross.example/lib/core"
 	"sardinecross.example/lib/lease"
@@ -19,6 +20,7 @@
 	return []core.Message{
 		{Heartbeat: &member.Heartbeat{
 			Seq: 1, Echo: 2, To: 3, DataCentre: "passau", Leaving: true, ConfVersion: 4, ConfAge: -time.Second, LogAnswers: true,
+			ListAge: 8, LeavingUpstreams: []ident.UpstreamID{"u2"},
 			Pledges: []member.Pledge{{Upstream: "u1", Previous: 5, Handoff: 6, Wait: 7}},
 		}},
 		{SlotRequest: &lease.Request{Owner: 1, Seq: 2, SentAt: 3, Upstreams: []lease.Demand{{
