core: Keep the slot of an abandoned attempt until the upstream dropped it

A host returned the slot as soon as its own deadline or cancellation ended an attempt.

The slot now becomes free 10 ms later. TestCancel expected the next start at once; it now expects none before that time and one after it. The new test failed before the change: the next order started in the same step.

--- a/lib/core/attempt.go
+++ b/lib/core/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"sardinecross.example/lib/lease"
 )
@@ -10,6 +11,10 @@
 // the upstream counts as cold.
 const coldFactor = 8
 
+// abandonedFor is the time within which an upstream drops a request whose deadline passed or that was cancelled. The slot stays
+// in use meanwhile: a request sent at once was seen to arrive while the upstream still had the other one in flight.
+const abandonedFor = 10 * time.Millisecond
+
 // attemptOf returns the running attempt that an event belongs to, or nil.
 func (s *State) attemptOf(r *request, n int) *attempt {
 	if r == nil || n < 1 || n > len(r.attempts) || r.attempts[n-1].outcome != 0 {
@@ -144,10 +149,11 @@
 func (s *State) returnSlot(r *request, a *attempt, ev AttemptEnded) {
 	u := a.upstream
 	p := r.class.policy
-	s.slots.End(s.now, u.id, lease.Ending{
-		Completed: ev.Outcome == OutcomeComplete && !a.failed,
-		NewConn:   ev.NewConn,
-	})
+	if ev.Outcome == OutcomeDeadline || ev.Outcome == OutcomeCancelled {
+		s.timers.add(timer{at: s.now + abandonedFor, slot: u, newConn: ev.NewConn})
+	} else {
+		s.slots.End(s.now, u.id, lease.Ending{Completed: ev.Outcome == OutcomeComplete && !a.failed, NewConn: ev.NewConn})
+	}
 	switch ev.Outcome {
 	case OutcomeComplete:
 		if !a.failed {
--- a/lib/core/request_test.go
+++ b/lib/core/request_test.go
@@ -177,6 +177,8 @@
 	}
 	h.end(id, 1, OutcomeCancelled)
 	order := h.arrive(RequestArrived{Class: "orders"})
+	assertNone(t, h)
+	h.run(abandonedFor)
 	only[StartAttempt](t, h)
 	h.step(RequestCancelled{ID: order})
 	assertNone(t, h)
@@ -294,3 +296,20 @@
 	h.run(250 * ms)
 	assertAddresses("out of service")
 }
+
+// Guards against a request above an upstream's slots: an upstream drops what its host has given up a little later.
+func TestSlotOfAbandonedAttempt(t *testing.T) {
+	for _, outcome := range []Outcome{OutcomeDeadline, OutcomeCancelled} {
+		h := newHost(t, 1)
+		id := h.arrive(RequestArrived{Class: "orders"})
+		only[StartAttempt](t, h)
+		h.arrive(RequestArrived{Class: "orders"})
+		assertNone(t, h)
+		h.end(id, 1, outcome)
+		assertRefused(t, h, failureReason(outcome), RunUnknown)
+		h.run(abandonedFor - ms)
+		assertNone(t, h)
+		h.run(ms)
+		only[StartAttempt](t, h)
+	}
+}
--- a/lib/core/timer.go
+++ b/lib/core/timer.go
@@ -5,16 +5,21 @@
 	"time"
 
 	"sardinecross.example/lib/common/ident"
+	"sardinecross.example/lib/lease"
 	"sardinecross.example/lib/member"
 )
 
-// timer is a time at which an attempt may be hedged or a service with waiting requests has to be looked at.
+// timer is a time at which an attempt may be hedged, a service with waiting requests has to be looked at, or the slot of an abandoned
+// attempt is free.
 type timer struct {
 	at      time.Duration
 	id      ident.RequestID
 	attempt int
-	// service is nil for a hedge.
+	// service is that with waiting requests.
 	service *service
+	// slot is the upstream whose slot becomes free; newConn reports that the attempt opened a connection.
+	slot    *upstream
+	newConn bool
 }
 
 // timers is a heap by time. Timers of requests that are gone stay until they are at the top.
@@ -79,6 +84,11 @@
 			s.topo.mark(tm.service)
 			continue
 		}
+		if tm.slot != nil {
+			s.slots.End(s.now, tm.slot.id, lease.Ending{NewConn: tm.newConn})
+			s.topo.mark(tm.slot.service)
+			continue
+		}
 		if r := s.requests[tm.id]; r != nil {
 			s.hedge(r, tm.attempt)
 		}
@@ -88,7 +98,7 @@
 // trimTimers drops dead timers, so that a finished request causes no wake-up.
 func (s *State) trimTimers() {
 	s.timers.trim(func(tm timer) bool {
-		if tm.service != nil {
+		if tm.service != nil || tm.slot != nil {
 			return false
 		}
 		r := s.requests[tm.id]
