--- /dev/null
+++ b/proofs/slopes_size_test.go
@@ -0,0 +1,80 @@
+//go:build slopes
+
+package proofs
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sardinecross.example/lib/common/ident"
+	"sardinecross.example/lib/conf"
+	"sardinecross.example/lib/order"
+)
+
+// TestSlopesOfIntervals prints what the interval of the heartbeats costs. Hosts are unreachable after 600 ms of silence,
+// so that intervals above 250 ms are not measured.
+func TestSlopesOfIntervals(t *testing.T) {
+	s := series{t: t, unit: "heartbeats/s"}
+	for _, interval := range []time.Duration{100, 133, 167, 250} {
+		interval *= time.Millisecond
+		t.Run(interval.String(), func(t *testing.T) {
+			m := measureSiteWith(t, sized(2, 8, 32), map[string]any{"heartbeat": interval.String()})
+			s.add(float64(time.Second)/float64(interval), m.measure(nil))
+		})
+	}
+	s.fit()
+}
+
+// TestSlopesOfSizes prints the sizes of the records that grow with the site.
+func TestSlopesOfSizes(t *testing.T) {
+	t.Run("checkpoint", func(t *testing.T) {
+		fitSizes(t, "items", []int{60, 120, 300, 1200}, func(n int) int { return len(configured(t, n).Checkpoint()) })
+	})
+	t.Run("claims", func(t *testing.T) {
+		fitSizes(t, "keys", []int{1, 16, 64, 256}, func(n int) int { return len(claims(t, n)) })
+	})
+}
+
+func fitSizes(t *testing.T, unit string, sizes []int, of func(int) int) {
+	var x, y []float64
+	for _, n := range sizes {
+		bytes := of(n)
+		t.Logf("POINT %d %s; %d B", n, unit, bytes)
+		x, y = append(x, float64(n)), append(y, float64(bytes))
+	}
+	slope, at0, r2, stderr := leastSquares(x, y)
+	t.Logf("FIT B = %.4g + %.4g x %s  (R2 %.3f, standard error of the slope %.2g)", at0, slope, unit, r2, stderr)
+}
+
+// configured returns a store that has decided one proposal for each of n upstreams.
+func configured(t *testing.T, n int) *conf.Store {
+	t.Helper()
+	s := conf.NewStore()
+	for i := range n {
+		data, err := conf.NewProposal(conf.Proposal{
+			ID:   conf.ProposalID(fmt.Sprintf("%032d", i)),
+			Item: conf.UpstreamItem(ident.UpstreamID(fmt.Sprintf("booking-alpha-%d", i))),
+			Base: conf.NoVersion, Value: conf.Value{Out: true},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Apply(conf.Batch{Records: []conf.Record{{Offset: int64(i), Data: data}}, Next: int64(i + 1)})
+	}
+	return s
+}
+
+// claims returns a record that claims n keys of 36 characters, the length of a UUID, for one class and tenant.
+func claims(t *testing.T, n int) []byte {
+	t.Helper()
+	b := order.NewBook(1<<62, order.Limits{KeyLifetime: time.Minute})
+	for i := range n {
+		b.Begin(0, order.Request{ID: ident.RequestID(i + 1), Key: fmt.Sprintf("orders\x00tenant1\x00%036d", i), Deadline: time.Second})
+	}
+	a, ok := b.Flush(time.Second/2, 1)
+	if !ok {
+		t.Fatal("nothing to append")
+	}
+	return a.Data
+}
--- a/proofs/slopes_test.go
+++ b/proofs/slopes_test.go
@@ -216,6 +216,12 @@
 }
 
 func measureSite(t *testing.T, l layout) *measured {
+	t.Helper()
+	return measureSiteWith(t, l, map[string]any{"requestIdLifetime": "1h"})
+}
+
+// measureSiteWith starts a site whose hosts have the given timing.
+func measureSiteWith(t *testing.T, l layout, timing map[string]any) *measured {
 	t.Helper()
 	s := &site{t: t, layout: l, dir: t.TempDir(), n: 20 + sites.Add(1), pairs: map[[2]string]*udpLink{}, dead: map[string]bool{}}
 	m := &measured{site: s}
@@ -231,7 +237,7 @@
 		settings := s.hostSettings(h)
 		// The default of 800% lets garbage hide the memory that is in use.
 		settings["runtime"] = map[string]any{"processors": 1, "gcPercent": 100}
-		settings["timing"] = map[string]any{"requestIdLifetime": "1h"}
+		settings["timing"] = timing
 		if i == 0 {
 			settings["peerAddresses"] = addresses
 		}
