lease, member: Test the slots against faults and correct what it found

Cause: the protocol was untested. Faults found by it and corrected: a host's pledge to itself was dropped by an overflow of its end; a late heartbeat of an earlier incarnation made a host refuse the current one for good. Not covered: hosts that disagree on the members for longer than 0.8 s.

--- a/lib/lease/holder.go
+++ b/lib/lease/holder.go
@@ -317,7 +317,7 @@
 // Grant takes in an owner's grant.
 func (s *State) Grant(now time.Duration, from ident.HostID, inc ident.Incarnation, g *Grant) {
 	s.Advance(now)
-	if g.Holder != s.settings.Incarnation || !s.inOrder(from, inc, 0, g.Seq) {
+	if g.Holder != s.settings.Incarnation || !s.inOrder(now, from, inc, 0, g.Seq) {
 		return
 	}
 	s.takeGrant(now, from, inc, g)
--- a/lib/lease/owner.go
+++ b/lib/lease/owner.go
@@ -138,13 +138,13 @@
 	t.handed = slices.DeleteFunc(t.handed, func(h handed) bool {
 		return now >= max(h.at+s.hold(u), h.quietAt)+s.settings.Pledge
 	})
-	t.pledges = slices.DeleteFunc(t.pledges, func(p pledge) bool { return now >= p.until+s.hold(u) })
+	t.pledges = slices.DeleteFunc(t.pledges, func(p pledge) bool { return now-s.hold(u) >= p.until })
 }
 
 // Request takes in a holder's request. The answer is sent with the next Outbox.
 func (s *State) Request(now time.Duration, from ident.HostID, inc ident.Incarnation, r *Request) {
 	s.Advance(now)
-	if r.Owner != s.settings.Incarnation || !s.inOrder(from, inc, r.Seq, 0) {
+	if r.Owner != s.settings.Incarnation || !s.inOrder(now, from, inc, r.Seq, 0) {
 		return
 	}
 	s.takeRequest(now, from, inc, r)
@@ -178,19 +178,19 @@
 	rec.want = d.Want
 	rec.conns = d.Conns
 	rec.entitled = min(rec.entitled, rec.count())
-	rec.void = t.yieldForeign(from, inc, d.Epoch, s.guards.noEpoch)
+	rec.void = t.yieldForeign(from, inc, d.Epoch)
 	s.evidence(now, u, rec, d.Report)
 	return rec
 }
 
 // yieldForeign removes the slots that a holder gave up with its epoch, and reports whether some of this epoch remain.
-func (t *term) yieldForeign(host ident.HostID, inc ident.Incarnation, epoch uint64, anyEpoch bool) bool {
+func (t *term) yieldForeign(host ident.HostID, inc ident.Incarnation, epoch uint64) bool {
 	current := false
 	t.foreign = slices.DeleteFunc(t.foreign, func(f foreign) bool {
 		if f.host != host || f.inc != inc {
 			return false
 		}
-		if f.epoch < epoch || anyEpoch {
+		if f.epoch < epoch {
 			return true
 		}
 		current = true
--- a/lib/lease/pledge.go
+++ b/lib/lease/pledge.go
@@ -86,8 +86,11 @@
 	ended := v.expiry
 	switch {
 	case !v.sent:
-	case v.to == s.settings.Host, host.Incarnation != 0 && host.Incarnation != v.inc:
+	case v.to == s.settings.Host:
 		ended = now
+	case host.Incarnation != 0 && host.Incarnation != v.inc:
+		// The former incarnation has ended, unless a very late heartbeat of an older one made it seem so.
+		ended = max(now, v.expiry)
 	case now < v.expiry:
 		return
 	}
--- a/lib/lease/state.go
+++ b/lib/lease/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,6 +17,8 @@
 	tick = 50 * time.Millisecond
 	// confSpread is the time within which a changed deadline is in effect on every host.
 	confSpread = 5 * time.Second
+	// heardKept is longer than a message can be delayed between two hosts.
+	heardKept = time.Minute
 )
 
 // Settings are fixed for the life of a State.
@@ -99,18 +102,19 @@
 	ready    []ident.UpstreamID
 	// requestSeq, grantSeq and handoffSeq number the own messages.
 	requestSeq, grantSeq, handoffSeq uint64
-	heard                            map[ident.HostID]heardSeq
-	guards                           guards
+	// heard holds the senders of the last minute.
+	heard  map[ident.Incarnation]*heardSeq
+	guards guards
 }
 
-// heardSeq is the last sequence numbers received from one incarnation of a host.
+// heardSeq is the last sequence numbers received from one incarnation, and when.
 type heardSeq struct {
-	inc            ident.Incarnation
 	request, grant uint64
+	at             time.Duration
 }
 
 // guards switches off single rules, to show that the tests detect their absence.
-type guards struct{ noHold, roundUp, noReclaimDelay, noRestartWait, noEpoch bool }
+type guards struct{ noHold, roundUp, noReclaimDelay, noRestartWait bool }
 
 // unit is the state of one upstream in all three parts.
 type unit struct {
@@ -141,7 +145,7 @@
 		pledgeFrom: now + s.Pledge,
 		contacts:   map[ident.HostID]*contact{},
 		replies:    map[ident.HostID]*reply{},
-		heard:      map[ident.HostID]heardSeq{},
+		heard:      map[ident.Incarnation]*heardSeq{},
 	}
 }
 
@@ -271,6 +275,7 @@
 }
 
 func (s *State) housekeep(now time.Duration) {
+	maps.DeleteFunc(s.heard, func(_ ident.Incarnation, h *heardSeq) bool { return now-h.at > heardKept })
 	for _, u := range s.order {
 		u.advanceDeadline(now)
 		s.stepVote(now, u)
@@ -348,20 +353,21 @@
 }
 
 // inOrder reports whether a message is newer than the last one of the same kind from the same incarnation.
-func (s *State) inOrder(from ident.HostID, inc ident.Incarnation, request, grant uint64) bool {
+func (s *State) inOrder(now time.Duration, from ident.HostID, inc ident.Incarnation, request, grant uint64) bool {
 	if host, ok := s.table.Get(from); !ok || host.Incarnation != inc {
 		return false
 	}
-	h := s.heard[from]
-	if h.inc != inc {
-		h = heardSeq{inc: inc}
+	h, ok := s.heard[inc]
+	if !ok {
+		h = &heardSeq{}
+		s.heard[inc] = h
 	}
 	if request != 0 && request <= h.request || grant != 0 && grant <= h.grant {
 		return false
 	}
 	h.request = max(h.request, request)
 	h.grant = max(h.grant, grant)
-	s.heard[from] = h
+	h.at = now
 	return true
 }
 
--- a/lib/member/table.go
+++ b/lib/member/table.go
@@ -15,7 +15,8 @@
 	// sentKept bounds the own heartbeats whose sending time is kept. At the default interval it covers 6.4 s,
 	// more than a pledge lasts; an older echo proves nothing.
 	sentKept = 64
-	// retiredKept bounds the former incarnations of a host whose late heartbeats are refused.
+	// retiredKept bounds the former incarnations of a host whose late heartbeats are refused. One that is heard while
+	// the last one is silent is accepted: a late heartbeat of an older incarnation had replaced it.
 	retiredKept = 8
 )
 
@@ -200,7 +201,7 @@
 		return Receipt{}
 	}
 	p := t.peer(from)
-	if slices.Contains(p.retired, inc) {
+	if slices.Contains(p.retired, inc) && now-p.heardAt < t.settings.Reach {
 		return Receipt{}
 	}
 	if inc == p.host.Incarnation && hb.Seq <= p.seq {
@@ -246,6 +247,7 @@
 
 // restart forgets everything that belongs to the former incarnation.
 func (p *peer) restart(inc ident.Incarnation) {
+	p.retired = slices.DeleteFunc(p.retired, func(r ident.Incarnation) bool { return r == inc })
 	if p.host.Incarnation != 0 {
 		p.retired = append(p.retired, p.host.Incarnation)
 	}
