--- a/proofs/slopes_test.go
+++ b/proofs/slopes_test.go
@@ -223,10 +223,14 @@
 // measureSiteWith starts a site whose hosts have the given timing.
 func measureSiteWith(t *testing.T, l layout, timing map[string]any) *measured {
 	t.Helper()
-	s := &site{t: t, layout: l, dir: t.TempDir(), n: 20 + sites.Add(1), pairs: map[[2]string]*udpLink{}, dead: map[string]bool{}}
+	s := &site{t: t, layout: l, dir: t.TempDir(), n: reserve(t), pairs: map[[2]string]*udpLink{}, dead: map[string]bool{}}
 	m := &measured{site: s}
 	s.ctl("keys", "ca").save("ca.pem")
 	s.layOut()
+	s.write("operator.jsonc", map[string]any{
+		"platform": map[string]any{"log": s.logAddr(), "hostList": s.listAddr()},
+		"admin":    []string{s.hosts[0].admin},
+	})
 	addresses := map[string]string{}
 	for _, h := range s.hosts[1:] {
 		link := newCountingLink(t, h.peers)
