proofs: Make three weak tests notice a missing guard

Cause: with the guard off in a scratch copy, three tests still passed: both sides of a split rounding their share up, proposals accepted whatever version they were made on, and no budget for connections and probes. Change: two halves of four hosts are cut from each other with three slots an upstream; two proposals are appended on the same version; upstreams close connections after answers.

--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	@for m in $(filter-out proofs,$(MODULES)); do (cd $$m && go test -race ./...) || exit 1; done
 
 proofs: build
-	cd proofs && go test -count=1 -timeout 15m ./...
+	cd proofs && go test -race -count=1 -timeout 15m
 
 # Measures against targets and baselines; results are in out/ and, as recorded, in docs/measurements.md.
 bench: build
--- a/proofs/answers_test.go
+++ b/proofs/answers_test.go
@@ -142,9 +142,11 @@
 func TestColdStart(t *testing.T) {
 	t.Parallel()
 	holds(t, coldStart, "site starts cold", "host killed", "host restarted", "host frozen", "links cut one way",
-		"links cut both ways", "host killed while links are cut", "upstreams turn cold under load")
+		"links cut both ways", "two halves cut from each other", "host killed while links are cut", "upstreams turn cold under load")
 	s := newSite(t, layout{
 		dataCentres: []string{"passau"}, hostsEach: 4, workers: map[string]int{"enquiry": 3, "booking": 2}, links: true,
+		// An odd number, so that two halves of the hosts cannot have equal shares.
+		slots: 3,
 	})
 	tr := s.traffic(load{orders: 10, consultations: 14, pause: time.Millisecond})
 	progress := func(what string) {
@@ -166,6 +168,15 @@
 	link(1, 2).backward.Store(true)
 	after(2 * time.Second)
 	progress("links were cut one way")
+	for _, pair := range [][2]int{{0, 2}, {0, 3}, {1, 2}, {1, 3}} {
+		link(pair[0], pair[1]).both(true)
+	}
+	link(0, 1).both(false)
+	link(2, 3).both(false)
+	after(5 * time.Second)
+	progress("two halves were cut from each other")
+	link(0, 3).both(false)
+	link(1, 2).both(false)
 	link(0, 2).both(true)
 	link(1, 3).both(true)
 	after(2 * time.Second)
@@ -193,7 +204,7 @@
 // hosts there are and however often they restart.
 func TestMeasuringBudget(t *testing.T) {
 	t.Parallel()
-	holds(t, measuring, "many hosts", "host restarted", "idle upstreams", "ownership moves")
+	holds(t, measuring, "many hosts", "host restarted", "upstreams close connections", "idle upstreams", "ownership moves")
 	s := newSite(t, layout{
 		dataCentres: []string{"passau"}, hostsEach: 6, workers: map[string]int{"enquiry": 3, "booking": 2}, warm: true,
 	})
@@ -206,6 +217,9 @@
 		s.start(h)
 		after(1500 * time.Millisecond)
 	}
+	s.control(s.fleetControl(), `{"service": "enquiry", "faults": {"runThenClose": {"probability": 0.5}}}`)
+	after(6 * time.Second)
+	clearUpstreams(s)
 	tr.stop()
 	after(6 * time.Second)
 	elapsed := time.Since(begun)
--- a/proofs/operate_test.go
+++ b/proofs/operate_test.go
@@ -7,6 +7,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"sardinecross.example/lib/applog"
+	"sardinecross.example/lib/conf"
 )
 
 // outBound is the time within which no host sends new work to what operators took out, or to what the host list calls leaving.
@@ -225,6 +228,7 @@
 			t.Errorf("hosts disagree after a race: %v", winners)
 		}
 	}
+	s.checkSameBase(t)
 	if codes := race("orders", "deposits"); codes[0] != 0 || codes[1] != 0 {
 		t.Errorf("operators racing on two items exited with %v, want success for both", codes)
 	}
@@ -257,6 +261,33 @@
 	stop()
 }
 
+// checkSameBase appends two proposals that were made on the same version; only the first may come into force.
+func (s *site) checkSameBase(t *testing.T) {
+	t.Helper()
+	log := applog.New(s.logAddr())
+	defer log.Close()
+	item := conf.ClassItem("races")
+	for _, target := range []time.Duration{501 * time.Millisecond, 502 * time.Millisecond} {
+		data, err := conf.NewProposal(conf.Proposal{
+			ID: conf.ProposalID(target.String()), Item: item, Base: conf.NoVersion,
+			Value: conf.Value{Class: conf.Class{Service: "booking", Target: target, Deadline: 2 * time.Second, Rank: 1}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := log.Append(t.Context(), "config", data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.operate("class", "set", "after", "-service", "booking", "-target", "90ms", "-deadline", "2s", "-rank", "1").ok()
+	for _, h := range s.hosts {
+		s.wait("the second proposal to be decided on "+h.id, func() bool { return s.target(h, "after") != "" })
+		if got := s.target(h, "races"); got != "501ms" {
+			t.Errorf("%s has %q in force after two proposals on one version, want the first", h.id, got)
+		}
+	}
+}
+
 // TestPlannedStop guards against requests that are cut or needlessly refused by a planned stop, for callers that keep to the
 // lifetime of address answers, while every host is replaced in turn.
 func TestPlannedStop(t *testing.T) {
--- a/proofs/site_test.go
+++ b/proofs/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -45,6 +46,8 @@
 	links bool
 	// warm starts the upstreams warm; they start cold otherwise.
 	warm bool
+	// slots of each upstream, 4 by default.
+	slots int
 	// service replaces settings of the stand-in's services, retention that of the log.
 	service, retention string
 	// lag is the host list's.
@@ -140,6 +143,7 @@
 // newSite starts the stand-ins and all hosts, publishes the classes and waits until they are in force.
 func newSite(t *testing.T, l layout) *site {
 	t.Helper()
+	l.slots = cmp.Or(l.slots, 4)
 	s := &site{
 		t: t, layout: l, dir: t.TempDir(), n: reserve(t),
 		pairs: map[[2]string]*udpLink{}, dead: map[string]bool{},
@@ -203,7 +207,7 @@
 	}
 	services := map[string]any{}
 	for name := range s.layout.workers {
-		services[name] = map[string]any{"slots": 4, "probeCost": "6ms", "connectionCost": "1ms"}
+		services[name] = map[string]any{"slots": s.layout.slots, "probeCost": "6ms", "connectionCost": "1ms"}
 	}
 	return map[string]any{
 		"host":          map[string]any{"id": h.id, "site": "proof", "dataCentre": h.dataCentre},
@@ -232,7 +236,7 @@
 	}
 	services := map[string]any{}
 	for name, n := range s.layout.workers {
-		service := json.RawMessage(fmt.Sprintf(`{"warm": %v}`, s.layout.warm))
+		service := json.RawMessage(fmt.Sprintf(`{"warm": %v, "slots": %d}`, s.layout.warm, s.layout.slots))
 		if s.layout.service != "" {
 			service = json.RawMessage(s.layout.service)
 		}
@@ -265,7 +269,7 @@
 	p := startProcess(s.t, s.dir, name, "standin", name, "-settings", s.write("standin-"+name+".jsonc", settings))
 	s.wait("stand-in "+name+" to start", func() bool {
 		data, _ := os.ReadFile(p.out.Name())
-		return bytes.Contains(data, []byte("ready"))
+		return bytes.HasPrefix(data, []byte("ready\n"))
 	})
 }
 
