--- a/proofs/link_test.go
+++ b/proofs/link_test.go
@@ -1,7 +1,6 @@
 package proofs
 
 import (
-	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -114,9 +113,7 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
-				src.Close()
-			}
+			src.Close()
 			return
 		}
 	}
