core, policy: Refuse early what cannot be answered before its deadline

At 150% of capacity, queues filled until the estimated wait reached the deadline. The estimate is too low, so requests started shortly before their deadline and passed it in the slot: the work was lost, the outcome unknown, the refusal late.

Admission now counts the wait twice, and a request that waited is refused as "not run" when the typical time no longer fits before its deadline. A request that need not wait starts all the same, so a misjudged time shuts no class out.

A longer turn of an owner's slots (250 ms for 50 ms) changed nothing.

--- a/lib/core/dispatch.go
+++ b/lib/core/dispatch.go
@@ -72,6 +72,9 @@
 	switch {
 	case s.now >= r.Deadline:
 		return ReasonDeadline, true
+	case s.now > r.queuedAt && !r.class.policy.EndsInTime(s.now, r.Deadline):
+		// A request that does not wait is started all the same, so that a misjudged time cannot shut a class out.
+		return ReasonDeadline, true
 	case !s.inService():
 		return ReasonConfigStale, true
 	case len(r.attempts) > 0 && !s.retrySafe(r):
--- a/lib/policy/class.go
+++ b/lib/policy/class.go
@@ -65,6 +65,11 @@
 	return time.Duration(c.Queue.Len()) * c.Typical() / time.Duration(max(slots, 1))
 }
 
+// waitMargin is how much longer than estimated the wait may turn out. The estimate counts all slots as in use all the time and for one
+// class; without a margin, an overload filled the queue with requests that reached their deadline in a slot, and
+// less than half of the capacity was of use.
+const waitMargin = 2
+
 // Admits reports whether a request pushed now can start in time. An empty queue admits every request,
 // so that a typical time that was misjudged cannot shut a class out.
 func (c *Class) Admits(now, deadline time.Duration, slots int) bool {
@@ -74,9 +79,12 @@
 	if c.Queue.Len() == 0 {
 		return true
 	}
-	return now+c.Wait(slots)+c.Typical() <= deadline
+	return now+waitMargin*c.Wait(slots)+c.Typical() <= deadline
 }
 
+// EndsInTime reports whether a request started now is typically answered before its deadline.
+func (c *Class) EndsInTime(now, deadline time.Duration) bool { return now+c.Typical() <= deadline }
+
 // minimumEvery is the number of starts of better ranks after which a waiting class gets one. Ten
 // keeps a class of low rank moving and costs a class of high rank little.
 const minimumEvery = 10
