proofs: Keep a link's way back open after a refused datagram

Cause: TestDataCentreOut timed out at the start on a busy machine. Change: only a closed socket ends it; a failed start names the hosts.

--- a/proofs/bench_report_test.go
+++ b/proofs/bench_report_test.go
@@ -168,6 +168,12 @@
 
 func text2(v float64) string { return strconv.FormatFloat(v, 'f', 2, 64) }
 
+// note prints and keeps a figure that has no bound.
+func (p *benchReport) note(text string) {
+	p.table.WriteString(text + "\n")
+	fmt.Println(text)
+}
+
 // target keeps one line about a target; whether it is met is a result, not a verdict on the run.
 func (p *benchReport) target(name string, measured, bound float64, met bool) {
 	verdict := "missed"
--- a/proofs/bench_test.go
+++ b/proofs/bench_test.go
@@ -62,7 +62,7 @@
 		}
 		for i, c := range spec.classes {
 			x, y := through.whole(i), best.whole(i)
-			p.target(spec.name+" added time p50 of "+c.name+" (ms, no bound)", x.p50-y.p50, 0, true)
+			p.note(fmt.Sprintf("%s added time p50 of %s: %.2f ms", spec.name, c.name, x.p50-y.p50))
 			p.atMost(spec.name+" added time p99 of "+c.name+" (ms)", x.p99-y.p99, 0.56)
 		}
 		p.inFlight(spec.name+" steady", through)
@@ -155,7 +155,7 @@
 		for _, at := range []time.Duration{out, back} {
 			near := r.figures(i, at, at+2*time.Second)
 			over = max(over, near.p99/toMs(c.target))
-			fmt.Printf("%s, 2 s after %v: p99 %.1f ms, target %v, not run %d\n", c.name, at, near.p99, c.target, near.notRun)
+			p.note(fmt.Sprintf("%s %s, 2 s after %v: p99 %.1f ms, target %v, not run %d", b.spec.name, c.name, at, near.p99, c.target, near.notRun))
 		}
 	}
 	name := b.spec.name + " data centre out and back, "
--- a/proofs/link_test.go
+++ b/proofs/link_test.go
@@ -1,6 +1,7 @@
 package proofs
 
 import (
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -190,10 +191,11 @@
 		buf := make([]byte, 64<<10)
 		for {
 			n, err := c.Read(buf)
-			if err != nil {
+			if errors.Is(err, net.ErrClosed) {
 				return
 			}
-			if !l.backward.Load() {
+			// Another error tells of a datagram that found no listener, as while a host restarts.
+			if err == nil && !l.backward.Load() {
 				_, _ = l.in.WriteToUDPAddrPort(buf[:n], from)
 			}
 		}
--- a/proofs/site_test.go
+++ b/proofs/site_test.go
@@ -383,20 +383,35 @@
 	if s.layout.workers["enquiry"] > 0 {
 		s.operate("class", "set", "consultations", "-service", "enquiry", "-target", "50ms", "-deadline", "1s", "-idempotent", "-rank", "2").ok()
 	}
+	missing := ""
+	defer func() {
+		if s.t.Failed() {
+			s.t.Log("missing: " + missing)
+		}
+	}()
 	s.wait("all classes to be in force on all hosts", func() bool {
-		for _, h := range s.live() {
-			st, err := s.status(h)
-			if err != nil || !st.InService || len(st.Classes) != len(s.layout.workers) {
-				return false
-			}
-			for _, m := range st.Members {
-				if !m.Reachable && !s.dead[m.ID] {
-					return false
-				}
+		missing = s.missing()
+		return missing == ""
+	})
+}
+
+// missing says what keeps a host from serving all classes; it is empty if nothing does.
+func (s *site) missing() string {
+	for _, h := range s.live() {
+		st, err := s.status(h)
+		switch {
+		case err != nil:
+			return err.Error()
+		case !st.InService || len(st.Classes) != len(s.layout.workers):
+			return fmt.Sprintf("%s has in service %v and %d classes", h.id, st.InService, len(st.Classes))
+		}
+		for _, m := range st.Members {
+			if !m.Reachable && !s.dead[m.ID] {
+				return h.id + " does not reach " + m.ID
 			}
 		}
-		return true
-	})
+	}
+	return ""
 }
 
 // hostStatus is the part of GET /status that the tests read.
