codec: Share the CBOR modes of logged records

Cause: conf and order built the same strict modes; a difference between them would let hosts disagree about a record. Change: one package under common with the bounds as arguments. Links between hosts keep their own mode, which ignores unknown fields on purpose. Result: tests of both packages pass unchanged.

--- a/lib/conf/codec.go
+++ b/lib/conf/codec.go
@@ -4,8 +4,7 @@
 	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"sardinecross.example/lib/common/codec"
 	"sardinecross.example/lib/common/ident"
 )
 
@@ -73,36 +72,10 @@
 }
 
 var (
-	encMode = mustEncMode()
-	decMode = mustDecMode()
+	encMode = codec.Encoder()
+	decMode = codec.Decoder(codec.Bounds{Elements: MaxItems, Depth: 8})
 )
 
-func mustEncMode() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-// mustDecMode is strict, so that every host decodes a record in the same way.
-func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		MaxNestedLevels:   8,
-		MaxArrayElements:  MaxItems,
-		MaxMapPairs:       16,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 // NewProposal checks a proposal as every host will, and returns its record. It fails with *InvalidError.
 func NewProposal(p Proposal) ([]byte, error) {
 	if err := p.check(); err != nil {
--- a/lib/order/codec.go
+++ b/lib/order/codec.go
@@ -5,8 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"sardinecross.example/lib/common/codec"
 	"sardinecross.example/lib/common/ident"
 )
 
@@ -35,36 +34,10 @@
 }
 
 var (
-	encMode = mustEncMode()
-	decMode = mustDecMode()
+	encMode = codec.Encoder()
+	decMode = codec.Decoder(codec.Bounds{Elements: MaxBatch, Depth: 4})
 )
 
-func mustEncMode() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
-// mustDecMode is strict, so that every host decodes a record in the same way.
-func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		MaxNestedLevels:   4,
-		MaxArrayElements:  MaxBatch,
-		MaxMapPairs:       16,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 func encode(w wireBatch) []byte {
 	data, err := encMode.Marshal(w)
 	if err != nil {
