standin: Share the start of a protocol's and its control's listeners

Cause: the log and the host list set up both listeners with the same lines. Change: serve.ListenPair does it once and closes both. Result: tests of the stand-ins pass with no change but the names of the two listeners.

--- a/standin/hosts/hosts.go
+++ b/standin/hosts/hosts.go
@@ -83,8 +83,7 @@
 // List is a running stand-in.
 type List struct {
 	now     func() time.Time
-	data    *serve.Server
-	control *serve.Server
+	servers serve.Pair
 
 	mu sync.Mutex
 	// entries are those visible at the last reading.
@@ -104,14 +103,7 @@
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/hosts", l.read).Methods(http.MethodGet)
 	var err error
-	if l.data, err = serve.Listen(cfg.Listen, r, nil); err != nil {
-		return nil, err
-	}
-	c := mux.NewRouter()
-	c.HandleFunc("/control", l.change).Methods(http.MethodPost)
-	c.HandleFunc("/stats", func(w http.ResponseWriter, _ *http.Request) { serve.JSON(w, l.Stats()) }).Methods(http.MethodGet)
-	if l.control, err = serve.Listen(cfg.Control, c, nil); err != nil {
-		l.data.Close()
+	if l.servers, err = serve.ListenPair(cfg.Listen, cfg.Control, r, l.change, func() any { return l.Stats() }); err != nil {
 		return nil, err
 	}
 	return l, nil
@@ -119,8 +111,7 @@
 
 // Close stops the host list and waits for its handlers.
 func (l *List) Close() {
-	l.control.Close()
-	l.data.Close()
+	l.servers.Close()
 }
 
 // Stats returns the counts so far and the visible entries.
--- a/standin/hosts/hosts_test.go
+++ b/standin/hosts/hosts_test.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := roster.New(l.data.Addr().String())
+	c := roster.New(l.servers.Data.Addr().String())
 	t.Cleanup(func() { c.Close(); l.Close() })
 	assertStates := func(want string) {
 		t.Helper()
@@ -45,7 +45,7 @@
 	}
 	control := func(body string, status int) {
 		t.Helper()
-		resp, err := http.Post("http://"+l.control.Addr().String()+"/control", "", strings.NewReader(body))
+		resp, err := http.Post("http://"+l.servers.Control.Addr().String()+"/control", "", strings.NewReader(body))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/standin/record/record.go
+++ b/standin/record/record.go
@@ -103,8 +103,7 @@
 type Log struct {
 	cfg     Settings
 	now     func() time.Time
-	data    *serve.Server
-	control *serve.Server
+	servers serve.Pair
 	// ctx ends with Close. It replaces that of a request where the client's disconnect must not matter.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -146,14 +145,7 @@
 	r.HandleFunc("/v1/streams/{stream}/records", l.append).Methods(http.MethodPost)
 	r.HandleFunc("/v1/streams/{stream}/records", l.read).Methods(http.MethodGet)
 	var err error
-	if l.data, err = serve.Listen(cfg.Listen, r, nil); err != nil {
-		return nil, err
-	}
-	c := mux.NewRouter()
-	c.HandleFunc("/control", l.setFaults).Methods(http.MethodPost)
-	c.HandleFunc("/stats", func(w http.ResponseWriter, _ *http.Request) { serve.JSON(w, l.Stats()) }).Methods(http.MethodGet)
-	if l.control, err = serve.Listen(cfg.Control, c, nil); err != nil {
-		l.data.Close()
+	if l.servers, err = serve.ListenPair(cfg.Listen, cfg.Control, r, l.setFaults, func() any { return l.Stats() }); err != nil {
 		return nil, err
 	}
 	return l, nil
@@ -162,8 +154,7 @@
 // Close stops the log and waits for its handlers.
 func (l *Log) Close() {
 	l.cancel()
-	l.control.Close()
-	l.data.Close()
+	l.servers.Close()
 }
 
 // Stats returns the counts so far.
--- a/standin/record/record_test.go
+++ b/standin/record/record_test.go
@@ -42,14 +42,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	client := applog.New(l.data.Addr().String())
+	client := applog.New(l.servers.Data.Addr().String())
 	t.Cleanup(func() { client.Close(); l.Close() })
 	return fixture{l, c, client}
 }
 
 func (f fixture) control(t *testing.T, body string, status int) {
 	t.Helper()
-	resp, err := http.Post("http://"+f.Log.control.Addr().String()+"/control", "", strings.NewReader(body))
+	resp, err := http.Post("http://"+f.Log.servers.Control.Addr().String()+"/control", "", strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -131,7 +131,7 @@
 	t.Run("slow append takes effect after its client has gone", func(t *testing.T) {
 		f := newFixture(t, nil)
 		f.control(t, `{"slow": "10m"}`, 204)
-		impatient := applog.New(f.data.Addr().String())
+		impatient := applog.New(f.servers.Data.Addr().String())
 		ended := make(chan error, 1)
 		go func() {
 			_, err := impatient.Append(t.Context(), "s", nil)
--- a/standin/serve/serve.go
+++ b/standin/serve/serve.go
@@ -12,6 +12,8 @@
 	"net/netip"
 	"sync"
 
+	"github.com/gorilla/mux"
+
 	"sardinecross.example/lib/config"
 )
 
@@ -93,6 +95,32 @@
 	})
 }
 
+// Pair is the listener of a stand-in's protocol and that of its control.
+type Pair struct{ Data, Control *Server }
+
+// ListenPair serves the protocol on one address and POST /control and GET /stats on the other.
+func ListenPair(data, control netip.AddrPort, h http.Handler, change http.HandlerFunc, stats func() any) (Pair, error) {
+	var p Pair
+	var err error
+	if p.Data, err = Listen(data, h, nil); err != nil {
+		return Pair{}, err
+	}
+	r := mux.NewRouter()
+	r.HandleFunc("/control", change).Methods(http.MethodPost)
+	r.HandleFunc("/stats", func(w http.ResponseWriter, _ *http.Request) { JSON(w, stats()) }).Methods(http.MethodGet)
+	if p.Control, err = Listen(control, r, nil); err != nil {
+		p.Data.Close()
+		return Pair{}, err
+	}
+	return p, nil
+}
+
+// Close closes both listeners and waits for their handlers.
+func (p Pair) Close() {
+	p.Control.Close()
+	p.Data.Close()
+}
+
 // JSON writes v as the answer.
 func JSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
