httpc: Share the HTTP client of the log and the host list

Cause: applog and roster had the same connection handling, limits and error types. Change: one package under common; the protocols and their errors stay where they were.

--- a/lib/applog/errors.go
+++ b/lib/applog/errors.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"sardinecross.example/lib/common/httpc"
 )
 
 // NotAppliedError reports an append that certainly had no effect: it was never sent, or the log refused it.
@@ -46,18 +48,6 @@
 // Unwrap returns the cause.
 func (e *ReadError) Unwrap() error { return e.Err }
 
-// StatusError reports a response with an unexpected status.
-type StatusError struct{ Status int }
-
-// Error implements error.
-func (e *StatusError) Error() string { return fmt.Sprintf("log responded with status %d", e.Status) }
-
-// SizeError reports data above a limit of the client.
-type SizeError struct{ Limit int64 }
-
-// Error implements error.
-func (e *SizeError) Error() string { return fmt.Sprintf("size above the limit of %d bytes", e.Limit) }
-
 // DecodeError reports a response that does not follow the protocol.
 type DecodeError struct {
 	Reason string
@@ -76,16 +66,10 @@
 // Unwrap returns the cause.
 func (e *DecodeError) Unwrap() error { return e.Err }
 
-// ClosedError reports the use of a closed client.
-type ClosedError struct{}
-
-// Error implements error.
-func (*ClosedError) Error() string { return "log client is closed" }
-
 // refused reports whether err is a response by which the log says that it did not apply an append: overload,
 // outage or a request that it rejects. Any other status leaves the outcome open.
 func refused(err error) bool {
-	var status *StatusError
+	var status *httpc.StatusError
 	if !errors.As(err, &status) {
 		return false
 	}
--- a/lib/roster/roster.go
+++ b/lib/roster/roster.go
@@ -5,14 +5,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"sync/atomic"
-	"time"
 
+	"sardinecross.example/lib/common/httpc"
 	"sardinecross.example/lib/common/ident"
 	"sardinecross.example/lib/common/sets"
 )
@@ -20,7 +17,6 @@
 const (
 	// maxResponseBytes is room for about 20,000 entries, ten times the target size of a site.
 	maxResponseBytes = 4 << 20
-	dialTimeout      = time.Second
 )
 
 // Role tells hosts and upstreams apart.
@@ -67,22 +63,6 @@
 // Unwrap returns the cause.
 func (e *ReadError) Unwrap() error { return e.Err }
 
-// StatusError reports a response with an unexpected status.
-type StatusError struct{ Status int }
-
-// Error implements error.
-func (e *StatusError) Error() string {
-	return fmt.Sprintf("host list responded with status %d", e.Status)
-}
-
-// SizeError reports a response above the limit.
-type SizeError struct{ Limit int64 }
-
-// Error implements error.
-func (e *SizeError) Error() string {
-	return fmt.Sprintf("response above the limit of %d bytes", e.Limit)
-}
-
 // DecodeError reports a response that does not follow the protocol.
 type DecodeError struct{ Err error }
 
@@ -98,55 +78,27 @@
 // Error implements error.
 func (*MissingError) Error() string { return "no list of entries" }
 
-// ClosedError reports the use of a closed client.
-type ClosedError struct{}
-
-// Error implements error.
-func (*ClosedError) Error() string { return "host list client is closed" }
-
 // Client reads one host list; it is safe for concurrent use.
 type Client struct {
-	address   string
-	transport *http.Transport
-	ctx       context.Context
-	cancel    context.CancelFunc
-	skipped   atomic.Int64
-
-	mu sync.Mutex
-	// closed is true once Close was called; no call joins calls after that.
-	closed bool
-	calls  sync.WaitGroup
+	address string
+	http    *httpc.Client
+	skipped atomic.Int64
 }
 
 // New returns a client for the host list at address (IP and port).
-func New(address string) *Client {
-	ctx, cancel := context.WithCancel(context.Background())
-	return &Client{
-		address: address,
-		ctx:     ctx,
-		cancel:  cancel,
-		transport: &http.Transport{
-			DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			IdleConnTimeout:    time.Minute,
-			DisableCompression: true,
-		},
-	}
-}
+func New(address string) *Client { return &Client{address: address, http: httpc.New(0)} }
+
+// Close cancels the readings in flight, waits for them and closes the connections.
+func (c *Client) Close() { c.http.Close() }
 
 // Read returns the usable entries. Unusable ones are skipped and counted, so that one wrong entry does not hide a
 // change to another. A failure is a *ReadError.
 func (c *Client) Read(ctx context.Context) ([]Entry, error) {
-	c.mu.Lock()
-	if c.closed {
-		c.mu.Unlock()
-		return nil, &ReadError{Err: &ClosedError{}}
+	ctx, done, err := c.http.Begin(ctx)
+	if err != nil {
+		return nil, &ReadError{Err: err}
 	}
-	c.calls.Add(1)
-	c.mu.Unlock()
-	defer c.calls.Done()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer context.AfterFunc(c.ctx, cancel)()
+	defer done()
 	body, err := c.get(ctx)
 	if err != nil {
 		return nil, &ReadError{Err: err}
@@ -162,37 +114,12 @@
 // Skipped returns how many unusable entries all readings contained.
 func (c *Client) Skipped() int64 { return c.skipped.Load() }
 
-// Close cancels the readings in flight, waits for them and closes the connections.
-func (c *Client) Close() {
-	c.mu.Lock()
-	c.closed = true
-	c.mu.Unlock()
-	c.cancel()
-	c.calls.Wait()
-	c.transport.CloseIdleConnections()
-}
-
 func (c *Client) get(ctx context.Context) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+"/v1/hosts", nil)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := c.transport.RoundTrip(req)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close() //nolint:errcheck // the body was read or is given up
-	if resp.StatusCode != http.StatusOK {
-		return nil, &StatusError{Status: resp.StatusCode}
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxResponseBytes {
-		return nil, &SizeError{Limit: maxResponseBytes}
-	}
-	return body, nil
+	return c.http.Do(req, maxResponseBytes)
 }
 
 // decodeEntries returns the usable entries and the number of unusable ones.
--- a/sardined/front/whole_test.go
+++ b/sardined/front/whole_test.go
@@ -18,6 +18,7 @@
 	"go.uber.org/goleak"
 
 	"sardinecross.example/lib/applog"
+	"sardinecross.example/lib/common/httpc"
 	"sardinecross.example/lib/common/ident"
 	"sardinecross.example/lib/core"
 	"sardinecross.example/lib/roster"
@@ -112,15 +113,15 @@
 type noLog struct{}
 
 func (noLog) Append(context.Context, string, []byte) (int64, error) {
-	return 0, &applog.ClosedError{}
+	return 0, &httpc.ClosedError{}
 }
 func (noLog) Read(context.Context, string, int64, int) (applog.Batch, error) {
-	return applog.Batch{}, &applog.ClosedError{}
+	return applog.Batch{}, &httpc.ClosedError{}
 }
 
 type noHosts struct{}
 
-func (noHosts) Read(context.Context) ([]roster.Entry, error) { return nil, &roster.ClosedError{} }
+func (noHosts) Read(context.Context) ([]roster.Entry, error) { return nil, &httpc.ClosedError{} }
 
 // host is a front with its runner, proxy and reducer.
 type host struct {
--- a/sardined/runner/runner_test.go
+++ b/sardined/runner/runner_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/goleak"
 
 	"sardinecross.example/lib/applog"
+	"sardinecross.example/lib/common/httpc"
 	"sardinecross.example/lib/common/ident"
 	"sardinecross.example/lib/core"
 	"sardinecross.example/lib/member"
@@ -146,8 +147,8 @@
 		want core.AppendEnded
 	}{
 		"answered":    {nil, core.AppendEnded{Answered: true, Offset: 7}},
-		"not applied": {&applog.NotAppliedError{Err: &applog.ClosedError{}}, core.AppendEnded{NotApplied: true, Offset: 7}},
-		"unanswered":  {&applog.UnansweredError{Err: &applog.ClosedError{}}, core.AppendEnded{Offset: 7}},
+		"not applied": {&applog.NotAppliedError{Err: &httpc.ClosedError{}}, core.AppendEnded{NotApplied: true, Offset: 7}},
+		"unanswered":  {&applog.UnansweredError{Err: &httpc.ClosedError{}}, core.AppendEnded{Offset: 7}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := &fake{wake: time.Hour, step: func(ev core.Event) []core.Effect {
