pause: Share the wait that a context cuts short

Cause: the load tool and two stand-ins each had the same timer and select. Change: one package under common; the load tool's own pause between attempts is called backOff.

--- a/sardineload/caller/call.go
+++ b/sardineload/caller/call.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"sardinecross.example/lib/common/pause"
 	"sardinecross.example/sardineload/plan"
 	"sardinecross.example/sardineload/tally"
 )
@@ -89,7 +90,7 @@
 			}
 		case notRun:
 		}
-		if !a.broken && !pause(ctx, call.Deadline, a.retryAfter) {
+		if !a.broken && !backOff(ctx, call.Deadline, a.retryAfter) {
 			return p.end()
 		}
 	}
@@ -108,8 +109,8 @@
 	return tally.Result{Outcome: o, Wrong: p.wrong, Attempts: p.attempts}
 }
 
-// pause waits before another attempt; it returns false if the deadline comes first.
-func pause(ctx context.Context, deadline time.Time, d time.Duration) bool {
+// backOff waits before another attempt; it returns false if the deadline comes first.
+func backOff(ctx context.Context, deadline time.Time, d time.Duration) bool {
 	if d <= 0 {
 		d = defaultRetryAfter
 	}
@@ -119,14 +120,7 @@
 	if time.Now().Add(d).After(deadline) {
 		return false
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, d)
 }
 
 // pick returns the first address that the call has not tried, or the first one if it tried all.
--- a/sardineload/load.go
+++ b/sardineload/load.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"sardinecross.example/lib/common/pause"
 	"sardinecross.example/sardineload/audit"
 	"sardinecross.example/sardineload/caller"
 	"sardinecross.example/sardineload/plan"
@@ -90,18 +91,7 @@
 
 // sleepUntil returns false if ctx ended first.
 func (l *load) sleepUntil(ctx context.Context, at time.Duration) bool {
-	rest := at - time.Since(l.start)
-	if rest <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(rest)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, at-time.Since(l.start))
 }
 
 func (l *load) send(a plan.Arrival, number string) {
--- a/standin/hosts/hosts.go
+++ b/standin/hosts/hosts.go
@@ -3,7 +3,6 @@
 
 import (
 	"cmp"
-	"context"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -12,6 +11,7 @@
 
 	"github.com/gorilla/mux"
 
+	"sardinecross.example/lib/common/pause"
 	"sardinecross.example/standin/serve"
 )
 
@@ -147,7 +147,7 @@
 		http.Error(w, "host list is down", http.StatusServiceUnavailable)
 		return
 	}
-	if !sleep(r.Context(), faults.Slow) {
+	if !pause.For(r.Context(), faults.Slow) {
 		panic(http.ErrAbortHandler)
 	}
 	l.mu.Lock()
@@ -158,20 +158,6 @@
 	}{append([]Entry{}, entries...)})
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d == 0 {
-		return true
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (l *List) change(w http.ResponseWriter, r *http.Request) {
 	body, err := serve.Body(r)
 	if err != nil {
--- a/standin/worker/request.go
+++ b/standin/worker/request.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"sardinecross.example/lib/common/pause"
 )
 
 const (
@@ -167,7 +169,7 @@
 	if !ok {
 		return nil, false
 	}
-	if !sleep(q.ctx, d) || !w.pause(q.ctx) {
+	if !pause.For(q.ctx, d) || !w.pause(q.ctx) {
 		return w.abandon(q), true
 	}
 	return w.complete(q), true
@@ -221,7 +223,7 @@
 		delay = f.LateBy
 	}
 	return func(rw http.ResponseWriter) {
-		sleep(q.client, delay)
+		pause.For(q.client, delay)
 		w.answer(rw, q, id, cut)
 	}
 }
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -13,6 +13,7 @@
 
 	"github.com/gorilla/mux"
 
+	"sardinecross.example/lib/common/pause"
 	"sardinecross.example/standin/serve"
 )
 
@@ -166,27 +167,12 @@
 		if rest <= 0 {
 			return true
 		}
-		if !sleep(ctx, rest) {
+		if !pause.For(ctx, rest) {
 			return false
 		}
 	}
 }
 
-// sleep returns false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // acquire waits for a slot; it returns false if ctx ended first.
 func (w *Worker) acquire(ctx context.Context) bool {
 	w.mu.Lock()
