sardinegate, platform: Serve the users' platform

On the users' platform upstreams refuse truthfully, so a second program asks the owner of a service for an upstream per request instead of holding leases.

--- a/lib/common/httpc/httpc.go
+++ b/lib/common/httpc/httpc.go
@@ -14,6 +14,10 @@
 const (
 	dialTimeout = time.Second
 	idleTimeout = time.Minute
+	// probeIdle, probeEvery and probeCount detect a connection that went silent: the peer's kernel answers probes.
+	probeIdle  = time.Second
+	probeEvery = 500 * time.Millisecond
+	probeCount = 2
 )
 
 // StatusError reports a response with an unexpected status.
@@ -55,7 +59,7 @@
 		ctx:    ctx,
 		cancel: cancel,
 		transport: &http.Transport{
-			DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:        dialer().DialContext,
 			MaxConnsPerHost:    conns,
 			IdleConnTimeout:    idleTimeout,
 			DisableCompression: true,
@@ -63,6 +67,15 @@
 	}
 }
 
+func dialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount,
+		},
+	}
+}
+
 // Close cancels the calls in flight, waits for them and closes the connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- /dev/null
+++ b/lib/grant/pick.go
@@ -0,0 +1,174 @@
+package grant
+
+import (
+	"slices"
+	"time"
+
+	"sardinecross.example/lib/fleet"
+)
+
+// Decide grants an upstream for a, or says why none is granted. rnd is uniform in [0,1) and breaks ties.
+func (s *State) Decide(now time.Duration, rnd float64, a Ask) Verdict {
+	svc := s.service(a.Service)
+	counts := &svc.budget
+	if a.Alone {
+		counts = &svc.alone
+	}
+	if !a.Repeat {
+		counts.first(now, s.cfg.RepeatWindow)
+	}
+	best, eta, full := s.choose(now, rnd, svc, &a)
+	if best == nil {
+		reason := NoUpstream
+		if full {
+			reason = NoRoom
+		}
+		return Verdict{Reason: reason, RetryAfter: svc.retryAfter(now)}
+	}
+	if eta > a.Left && len(best.flights) >= best.slots() {
+		return Verdict{Reason: NoRoom, RetryAfter: svc.retryAfter(now)}
+	}
+	if a.Hedge && !s.worthwhile(now, svc, &a, eta) {
+		return Verdict{Reason: NoGain}
+	}
+	if a.Repeat && !s.mayRepeat(now, counts, a.Alone) {
+		return Verdict{Reason: NoBudget, RetryAfter: svc.retryAfter(now)}
+	}
+	v := Verdict{
+		Upstream: best.ID,
+		Expected: eta,
+		Inflight: best.inflight(now),
+		Factor:   best.factor(now),
+		Age:      now - best.reported,
+	}
+	if best.isCold(now) {
+		best.tokens--
+	}
+	best.advance(now)
+	best.flights[a.ID] = flight{start: now, work: best.work, expires: now + a.Left + time.Second}
+	return v
+}
+
+func (s *State) mayRepeat(now time.Duration, counts *budget, alone bool) bool {
+	ratio, slack := s.cfg.RepeatRatio*repeatShare, s.cfg.RepeatSlack*repeatShare
+	if alone {
+		ratio = s.cfg.RepeatRatio * strandedShare
+		slack = s.cfg.RepeatSlack * strandedShare / float64(max(s.cfg.Hosts, 1))
+	}
+	return counts.repeat(now, s.cfg.RepeatWindow, ratio, slack)
+}
+
+// choose returns the upstream with the least expected cost, and whether upstreams were left out for lack of room.
+func (s *State) choose(now time.Duration, rnd float64, svc *service, a *Ask) (best *upstream, eta time.Duration, full bool) {
+	room := normalRoom
+	if a.Priority <= urgentPriority {
+		room = urgentRoom
+	}
+	cross := s.cfg.CrossCost
+	if a.Bulk {
+		cross = s.cfg.BulkCrossCost
+	}
+	bestCost := 0.0
+	n := len(svc.upstreams)
+	for i := range n {
+		u := svc.upstreams[(i+int(rnd*float64(n)))%n]
+		if !s.usable(now, svc, u, a) {
+			continue
+		}
+		if float64(u.inflight(now)) >= room*float64(u.slots()) {
+			full = true
+			continue
+		}
+		t := svc.estimate(now, u)
+		cost := float64(t)
+		if u.DataCentre != a.DataCentre {
+			cost += cross * float64(svc.typical)
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost, eta = u, cost, t
+		}
+	}
+	return best, eta, full
+}
+
+func (s *State) usable(now time.Duration, svc *service, u *upstream, a *Ask) bool {
+	if u.State != fleet.Ready {
+		return false
+	}
+	if _, out := s.out[u.DataCentre]; out {
+		return false
+	}
+	if slices.Contains(a.Tried, u.ID) {
+		return false
+	}
+	if u.isCold(now) {
+		return !a.Alone && u.refill(now, svc.coldPerSecond) >= 1
+	}
+	return true
+}
+
+// estimate is the expected time to the response of a further request at u.
+func (svc *service) estimate(now time.Duration, u *upstream) time.Duration {
+	n, slots := u.inflight(now), u.slots()
+	t := float64(svc.typical) * u.speed * u.factor(now) / usualFactor
+	if float64(n+1) > kneeShare*float64(slots) {
+		t *= kneeSlowdown
+	}
+	if n >= slots {
+		t += t * float64(n-slots+1) / float64(slots)
+	}
+	if u.isCold(now) {
+		t *= coldSlowdown
+	}
+	if u.silent(now) {
+		t *= silentSlowdown
+	}
+	if u.ill {
+		t *= illSlowdown
+	}
+	t *= 1 + failureSlowdown*u.failure(now)
+	// Equal upstreams are told apart by their work in flight.
+	t *= 1 + 0.05*float64(n)/float64(slots)
+	return time.Duration(t)
+}
+
+func (u *upstream) silent(now time.Duration) bool {
+	return u.waiting >= 0 && now-u.waiting > silentAfter
+}
+
+// worthwhile reports whether a second attempt probably ends enough earlier than the first.
+func (s *State) worthwhile(now time.Duration, svc *service, a *Ask, eta time.Duration) bool {
+	if len(a.Tried) == 0 {
+		return true
+	}
+	u := s.byID[a.Tried[len(a.Tried)-1]]
+	if u == nil {
+		return true
+	}
+	u.advance(now)
+	f, ok := u.flights[AskID{Host: a.ID.Host, Seq: a.Beside}]
+	if !ok {
+		return a.Elapsed > a.Target/2
+	}
+	rest := float64(svc.typical)*u.speed - (u.work-f.work)*float64(time.Second)
+	remaining := max(rest, float64(svc.typical)/4) * u.factor(now) / usualFactor
+	if u.silent(now) {
+		remaining *= silentSlowdown
+	}
+	late := a.Elapsed+time.Duration(remaining) > a.Target
+	return late && float64(eta) < remaining*(1-hedgeGain)
+}
+
+// retryAfter is when a refused caller should come back: about the time in which a slot is freed.
+func (svc *service) retryAfter(now time.Duration) time.Duration {
+	busy, slots := 0, 0
+	for _, u := range svc.upstreams {
+		busy += u.inflight(now)
+		slots += u.slots()
+	}
+	d := svc.typical
+	if slots > 0 && busy > slots {
+		d = d * time.Duration(busy) / time.Duration(slots)
+	}
+	return min(max(d/2, minRetryAfter), maxRetryAfter)
+}
--- /dev/null
+++ b/lib/grant/settings.go
@@ -0,0 +1,70 @@
+// Package grant decides which upstream serves a request. It is a deterministic reducer: time and randomness are
+// arguments, and nothing in it does input or output. Every host keeps one; for each service one host, the owner, is
+// asked by all others and so knows all work in flight, the cold limits and the retry budget of the service.
+package grant
+
+import "time"
+
+// Settings are the bounds and weights of the decisions.
+type Settings struct {
+	// RepeatRatio and RepeatSlack bound the attempts beyond the first of all hosts together within RepeatWindow:
+	// RepeatRatio times the requests plus RepeatSlack.
+	RepeatRatio, RepeatSlack float64
+	RepeatWindow             time.Duration
+	// Hosts is the number of hosts that may decide without the owner.
+	Hosts int
+	// CrossCost is what an upstream in another data centre costs, as a share of a typical response time.
+	CrossCost float64
+	// BulkCrossCost is the same for large responses.
+	BulkCrossCost float64
+}
+
+const (
+	// repeatShare is the owner's share of the retry budget; the rest is left to hosts that cannot reach it.
+	repeatShare = 0.65
+	// strandedShare is the part of the retry budget that all hosts together use without the owner.
+	strandedShare = 0.2
+	// coldShare is the part of the cold rate that an owner grants: a second owner may grant as much at a takeover.
+	coldShare = 0.7
+	// coldBurst is the most requests a cold upstream gets at once.
+	coldBurst = 2.0
+	// coldSlowdown is how much longer work is assumed to take at a cold upstream.
+	coldSlowdown = 2.0
+	// kneeShare is the share of busy slots above which upstreams are assumed to slow down by kneeSlowdown.
+	kneeShare    = 0.8
+	kneeSlowdown = 1.7
+	// usualFactor is the machine factor without contention, in percent; meanFactor is assumed without a report.
+	usualFactor = 100.0
+	meanFactor  = 180.0
+	// factorMemory is the time after which a reported machine factor says little about the present one.
+	factorMemory = 400 * time.Millisecond
+	// reportFresh is the age up to which a reported count of requests is compared with the own count.
+	reportFresh = 150 * time.Millisecond
+	// silentAfter is the time without an answer to a probe after which an upstream counts as silent.
+	silentAfter = 200 * time.Millisecond
+	// silentSlowdown is how much longer work is assumed to take at a silent upstream.
+	silentSlowdown = 12.0
+	// illSlowdown applies to an upstream whose health response is not 200.
+	illSlowdown = 1.6
+	// failureWeight is the gain of the failure average of an upstream, failureSlowdown its effect on the estimate.
+	failureWeight   = 0.25
+	failureSlowdown = 8.0
+	// failureMemory halves the failure average.
+	failureMemory = 1500 * time.Millisecond
+	// typicalWork is assumed until responses were measured.
+	typicalWork = 150 * time.Millisecond
+	// workWeight is the gain of the average response time of a service, speedWeight that of an upstream's ratio to it.
+	workWeight  = 0.05
+	speedWeight = 0.1
+	// minSpeed and maxSpeed bound an upstream's ratio to the average.
+	minSpeed, maxSpeed = 0.5, 4.0
+	// urgentRoom and normalRoom bound the requests at an upstream, as multiples of its slots, by priority.
+	urgentRoom, normalRoom = 2.0, 1.6
+	// urgentPriority is the lowest priority that uses urgentRoom.
+	urgentPriority = 1
+	// minRetryAfter and maxRetryAfter bound what a refused caller is told.
+	minRetryAfter = 80 * time.Millisecond
+	maxRetryAfter = 600 * time.Millisecond
+	// hedgeGain is the share of the expected remaining time that a second attempt has to save.
+	hedgeGain = 0.25
+)
--- /dev/null
+++ b/sardinegate/broker/broker.go
@@ -0,0 +1,231 @@
+// Package broker finds an upstream for each request: it asks the owner of the service, answers the asks of other
+// hosts for services that this host owns, and probes the upstreams of those.
+package broker
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sardinecross.example/lib/fleet"
+	"sardinecross.example/lib/grant"
+	"sardinecross.example/sardinegate/mesh"
+	"sardinecross.example/sardinegate/pool"
+)
+
+const (
+	// askTimeout is how long a host waits for the owner before it decides alone.
+	askTimeout = 25 * time.Millisecond
+	// suspectFor is how long an owner that did not answer is passed over.
+	suspectFor = 400 * time.Millisecond
+	// expireEvery is the time between searches for attempts whose end was not reported.
+	expireEvery = 500 * time.Millisecond
+	// orderFor is how long the order of owners is kept.
+	orderFor = 100 * time.Millisecond
+)
+
+// Grant is a verdict and the host that gave it.
+type Grant struct {
+	grant.Verdict
+	ID grant.AskID
+	By string
+}
+
+// Deps are what a broker works with.
+type Deps struct {
+	Host    string
+	Node    *mesh.Node
+	Pool    *pool.Pool
+	Dialect fleet.Dialect
+	Log     *slog.Logger
+	// View returns the present view, Leaving whether this host is shutting down.
+	View    func() *fleet.View
+	Leaving func() bool
+	// ProbeEvery is the time between probes of one upstream.
+	ProbeEvery time.Duration
+}
+
+type ownerOrder struct {
+	hosts []string
+	until time.Duration
+}
+
+// Broker is safe for concurrent use.
+type Broker struct {
+	deps  Deps
+	start time.Time
+	seq   atomic.Uint64
+	stop  context.CancelFunc
+	done  sync.WaitGroup
+
+	// Probes counts probes; Alone counts decisions without the owner.
+	Probes, Alone atomic.Int64
+
+	mu      sync.Mutex
+	state   *grant.State
+	pending map[uint64]chan grant.Verdict
+	suspect map[string]time.Duration
+	orders  map[string]ownerOrder
+	probes  map[string]*probe
+}
+
+// New starts a broker.
+func New(deps Deps, settings grant.Settings) *Broker {
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &Broker{
+		deps:    deps,
+		start:   time.Now(),
+		stop:    cancel,
+		state:   grant.New(settings),
+		pending: make(map[uint64]chan grant.Verdict),
+		suspect: make(map[string]time.Duration),
+		orders:  make(map[string]ownerOrder),
+		probes:  make(map[string]*probe),
+	}
+	b.done.Go(func() { b.probeLoop(ctx) })
+	b.done.Go(func() {
+		t := time.NewTicker(expireEvery)
+		defer t.Stop()
+		for {
+			select {
+			case <-t.C:
+				b.mu.Lock()
+				b.state.Expire(b.now())
+				b.mu.Unlock()
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+	return b
+}
+
+// Close stops probing and waits.
+func (b *Broker) Close() {
+	b.stop()
+	b.done.Wait()
+}
+
+func (b *Broker) now() time.Duration { return time.Since(b.start) }
+
+// Update takes over a new view.
+func (b *Broker) Update(v *fleet.View) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state.SetHosts(len(b.deps.Node.Alive()) + 1)
+	b.state.Update(b.now(), v)
+}
+
+// owner returns the host to ask for a service. The mutex is held.
+func (b *Broker) owner(now time.Duration, service string) string {
+	o := b.orders[service]
+	if now >= o.until {
+		o = ownerOrder{b.deps.Node.Order(service, b.deps.Leaving()), now + orderFor}
+		b.orders[service] = o
+	}
+	for _, host := range o.hosts {
+		if now >= b.suspect[host] {
+			return host
+		}
+	}
+	return b.deps.Host
+}
+
+// Ask returns a decision on an ask: the owner's, or that of this host if the owner does not answer in time.
+func (b *Broker) Ask(ctx context.Context, a grant.Ask) Grant {
+	a.ID = grant.AskID{Host: b.deps.Host, Seq: b.seq.Add(1)}
+	now := b.now()
+	b.mu.Lock()
+	owner := b.owner(now, a.Service)
+	if owner == b.deps.Host {
+		v := b.state.Decide(now, rand.Float64(), a)
+		b.mu.Unlock()
+		return Grant{v, a.ID, owner}
+	}
+	answer := make(chan grant.Verdict, 1)
+	b.pending[a.ID.Seq] = answer
+	b.mu.Unlock()
+	defer func() {
+		b.mu.Lock()
+		delete(b.pending, a.ID.Seq)
+		b.mu.Unlock()
+	}()
+	b.deps.Node.Send(owner, &mesh.Message{Ask: &a})
+	t := time.NewTimer(askTimeout)
+	defer t.Stop()
+	select {
+	case v := <-answer:
+		return Grant{v, a.ID, owner}
+	case <-ctx.Done():
+		return Grant{grant.Verdict{Reason: grant.NoUpstream}, a.ID, owner}
+	case <-t.C:
+	}
+	b.Alone.Add(1)
+	a.Alone = true
+	now = b.now()
+	b.mu.Lock()
+	b.suspect[owner] = now + suspectFor
+	v := b.state.Decide(now, rand.Float64(), a)
+	b.mu.Unlock()
+	b.deps.Log.Warn("owner did not answer", "owner", owner, "service", a.Service, "upstream", v.Upstream, "reason", v.Reason.String())
+	return Grant{v, a.ID, b.deps.Host}
+}
+
+// Finish reports the end of an attempt to the host that granted it.
+func (b *Broker) Finish(g Grant, d grant.Done) {
+	d.ID, d.Upstream = g.ID, g.Upstream
+	b.mu.Lock()
+	b.state.Finish(b.now(), d)
+	b.mu.Unlock()
+	if g.By != b.deps.Host {
+		b.deps.Node.Send(g.By, &mesh.Message{Done: &d})
+	}
+}
+
+// Handle takes the messages that concern grants.
+func (b *Broker) Handle(m *mesh.Message) {
+	now := b.now()
+	switch {
+	case m.Ask != nil:
+		b.mu.Lock()
+		v := b.state.Decide(now, rand.Float64(), *m.Ask)
+		b.mu.Unlock()
+		b.deps.Node.Send(m.From, &mesh.Message{Verdict: &mesh.Verdict{Seq: m.Ask.ID.Seq, Verdict: v}})
+	case m.Verdict != nil:
+		b.mu.Lock()
+		answer := b.pending[m.Verdict.Seq]
+		delete(b.pending, m.Verdict.Seq)
+		delete(b.suspect, m.From)
+		b.mu.Unlock()
+		if answer != nil {
+			answer <- m.Verdict.Verdict
+		} else if m.Verdict.Verdict.Upstream != "" {
+			b.deps.Node.Send(m.From, &mesh.Message{Done: &grant.Done{
+				ID:       grant.AskID{Host: b.deps.Host, Seq: m.Verdict.Seq},
+				Upstream: m.Verdict.Verdict.Upstream,
+				Outcome:  grant.Unused,
+			}})
+		}
+	case m.Done != nil:
+		b.mu.Lock()
+		b.state.Finish(now, *m.Done)
+		b.mu.Unlock()
+	case m.Beat != nil:
+		b.mu.Lock()
+		for id, left := range m.Beat.Cold {
+			b.state.Cold(now, id, left)
+		}
+		b.mu.Unlock()
+	}
+}
+
+// Cold returns the upstreams of services owned by this host that are cold.
+func (b *Broker) Cold() map[string]time.Duration {
+	now := b.now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.ColdUpstreams(now)
+}
--- /dev/null
+++ b/sardinegate/gate.go
@@ -0,0 +1,266 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"sardinecross.example/lib/fleet"
+	"sardinecross.example/lib/grant"
+	"sardinecross.example/platform"
+	"sardinecross.example/sardinegate/broker"
+	"sardinecross.example/sardinegate/entry"
+	"sardinecross.example/sardinegate/lines"
+	"sardinecross.example/sardinegate/mesh"
+	"sardinecross.example/sardinegate/pool"
+	"sardinecross.example/sardinegate/stats"
+	"sardinecross.example/sardinegate/watch"
+)
+
+const (
+	// metricsPort serves the measurements at /metrics.
+	metricsPort = 9464
+	// probesPerSecond is the rate of probes at one upstream, unless the platform allows less.
+	probesPerSecond = 20.0
+	// crossCost and bulkCrossCost are what an upstream in another data centre costs, as a share of a response time.
+	crossCost     = 0.25
+	bulkCrossCost = 0.6
+	// addressLifetime is how long callers keep addresses.
+	addressLifetime = 2 * time.Second
+	// fewLocal is the number of hosts in a data centre below which its callers also get hosts elsewhere.
+	fewLocal = 2
+	// lastWork is the part of the grace that is left for requests in flight after the listeners closed.
+	lastWork = 1800 * time.Millisecond
+	// exitMargin is the part of the grace that is left for the end of the process.
+	exitMargin = 300 * time.Millisecond
+	// maxHeaderBytes bounds request headers before a configuration is known.
+	maxHeaderBytes = 64 << 10
+	// readHeaderTimeout and idleTimeout are above the limits that operators set.
+	readHeaderTimeout = 30 * time.Second
+	idleTimeout       = 90 * time.Second
+)
+
+// gate is the running entry host.
+type gate struct {
+	settings platform.Settings
+	path     string
+	log      *slog.Logger
+	lines    *lines.Writer
+	store    *platform.Store
+	node     *mesh.Node
+	watcher  *watch.Watcher
+	pool     *pool.Pool
+	broker   *broker.Broker
+	leaving  atomic.Bool
+	callers  *http.Server
+	others   []*http.Server
+	done     sync.WaitGroup
+}
+
+var _ platform.Addresses = (*gate)(nil)
+
+// newGate starts an entry host.
+func newGate(s platform.Settings, path string, out io.Writer, quiet bool) (*gate, error) {
+	ip, err := netip.ParseAddr(s.IP)
+	if err != nil {
+		return nil, &platform.DecodeError{What: "settings: ip", Reason: "no IP address", Err: err}
+	}
+	level := slog.LevelInfo
+	if quiet {
+		level = slog.LevelWarn
+	}
+	g := &gate{settings: s, path: path, lines: lines.New(out), store: platform.NewStore(s.Store), pool: pool.New()}
+	g.log = lines.Logger(g.lines, level)
+	boot := time.Now().UnixNano()
+	g.log.Info("start", "host", s.Host, "dataCentre", s.DataCentre, "boot", boot)
+	g.node, err = mesh.Listen(mesh.Self{
+		Host: s.Host, DataCentre: s.DataCentre, Callers: s.Callers, Boot: boot,
+		Listen: netip.AddrPortFrom(ip, uint16(s.Internal)),
+	}, g.log)
+	if err != nil {
+		return nil, fmt.Errorf("listen for hosts: %w", err)
+	}
+	g.watcher = watch.New(watch.Deps{
+		Host: s.Host, IP: ip, Source: g.store, Node: g.node, Log: g.log,
+		Changed: func(v *fleet.View) { g.broker.Update(v) },
+	})
+	g.broker = broker.New(broker.Deps{
+		Host: s.Host, Node: g.node, Pool: g.pool, Dialect: platform.Dialect{}, Log: g.log,
+		View: g.watcher.View, Leaving: g.leaving.Load,
+		ProbeEvery: time.Duration(float64(time.Second) / min(probesPerSecond, s.MaxProbesPerSecond)),
+	}, grant.Settings{
+		RepeatRatio: s.RepeatRatio, RepeatSlack: s.RepeatSlack, RepeatWindow: s.RepeatWindow,
+		Hosts: 1, CrossCost: crossCost, BulkCrossCost: bulkCrossCost,
+	})
+	g.node.Start(g.status, func(m *mesh.Message) {
+		g.watcher.Handle(m)
+		g.broker.Handle(m)
+	})
+	for _, seed := range s.Seeds {
+		if addr, err := netip.ParseAddrPort(seed); err == nil {
+			g.node.Introduce(addr.Addr())
+		}
+	}
+	g.watcher.Start()
+	return g, g.listen(g.newStats())
+}
+
+func (g *gate) status() mesh.Beat {
+	return mesh.Beat{
+		Leaving:   g.leaving.Load(),
+		Ready:     g.Ready(),
+		Operators: g.watcher.Position(),
+		Cold:      g.broker.Cold(),
+	}
+}
+
+func (g *gate) newStats() *stats.Set {
+	count := func(n *atomic.Int64) func() float64 { return func() float64 { return float64(n.Load()) } }
+	return stats.New(
+		stats.Gauge{Name: "store_calls_total", Read: count(&g.watcher.Calls)},
+		stats.Gauge{Name: "store_calls_failed_total", Read: count(&g.watcher.Failed)},
+		stats.Gauge{Name: "upstream_list_age_seconds", Read: func() float64 { return g.watcher.Age().Seconds() }},
+		stats.Gauge{Name: "configuration_version", Read: func() float64 {
+			if t := g.watcher.View().Routes; t != nil {
+				return float64(t.Version)
+			}
+			return 0
+		}},
+		stats.Gauge{Name: "hosts_alive", Read: func() float64 { return float64(len(g.node.Alive()) + 1) }},
+		stats.Gauge{Name: "probes_total", Read: count(&g.broker.Probes)},
+		stats.Gauge{Name: "decisions_alone_total", Read: count(&g.broker.Alone)},
+		stats.Gauge{Name: "upstream_connections_total", Read: count(&g.pool.Dials)},
+		stats.Gauge{Name: "messages_sent_total", Read: count(&g.node.Sent)},
+		stats.Gauge{Name: "messages_received_total", Read: count(&g.node.Received)},
+		stats.Gauge{Name: "messages_invalid_total", Read: count(&g.node.Invalid)},
+		stats.Gauge{Name: "log_lines_left_out_total", Read: count(&g.lines.Dropped)},
+	)
+}
+
+// listen opens all listeners.
+func (g *gate) listen(set *stats.Set) error {
+	s := g.settings
+	g.callers = &http.Server{
+		Handler: entry.New(entry.Deps{
+			Host: s.Host, DataCentre: s.DataCentre, Grants: g.broker, Sender: g.pool, Dialect: platform.Dialect{},
+			View: g.watcher.View, Leaving: g.leaving.Load, Record: set, Log: g.log,
+		}),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", set)
+	for _, l := range []struct {
+		addr    string
+		server  *http.Server
+		handler http.Handler
+	}{
+		{s.Callers, g.callers, nil},
+		{s.Ready, nil, platform.Ready(g)},
+		{s.Directory, nil, platform.Directory(g)},
+		{netip.AddrPortFrom(netip.MustParseAddr(s.IP), metricsPort).String(), nil, mux},
+	} {
+		if l.addr == "" {
+			continue
+		}
+		ln, err := net.Listen("tcp4", l.addr)
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		if l.server == nil {
+			l.server = &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+			g.others = append(g.others, l.server)
+		}
+		g.done.Go(func() { _ = l.server.Serve(ln) }) // always ends with ErrServerClosed
+	}
+	return nil
+}
+
+// Ready implements platform.Addresses.
+func (g *gate) Ready() bool {
+	v := g.watcher.View()
+	return v.Routes != nil && v.Listed && !g.leaving.Load()
+}
+
+// Nearest implements platform.Addresses: the hosts of the caller's data centre, and all others if these are few.
+func (g *gate) Nearest(dataCentre string) ([]string, time.Duration) {
+	var local, all []string
+	add := func(dc, addr string) {
+		all = append(all, addr)
+		if dc == dataCentre {
+			local = append(local, addr)
+		}
+	}
+	if g.Ready() {
+		add(g.settings.DataCentre, g.settings.Callers)
+	}
+	for _, m := range g.node.Alive() {
+		if m.Ready && !m.Leaving {
+			add(m.DataCentre, m.Callers)
+		}
+	}
+	valid := min(addressLifetime, g.settings.MaxAddressLifetime)
+	if len(local) >= fewLocal {
+		return local, valid
+	}
+	return all, valid
+}
+
+// serve runs until a signal ends the process.
+func (g *gate) serve(signals <-chan os.Signal) {
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			g.log.Info("stop", "signal", sig.String())
+			break
+		}
+		g.reload()
+	}
+	g.shutdown(signals)
+}
+
+// reload reads the settings again. All of them take effect at the next start.
+func (g *gate) reload() {
+	s, err := platform.LoadSettings(g.path)
+	if err != nil {
+		g.log.Error("settings not reloaded", "error", err)
+		return
+	}
+	g.log.Info("settings read again; changes take effect at the next start", "host", s.Host)
+}
+
+// shutdown takes the host out of the directory, serves what still arrives, and ends within the grace.
+func (g *gate) shutdown(signals <-chan os.Signal) {
+	g.leaving.Store(true)
+	g.node.Beat()
+	select {
+	case <-time.After(g.settings.Grace - lastWork):
+	case <-signals:
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), lastWork-exitMargin)
+	defer cancel()
+	if err := g.callers.Shutdown(ctx); err != nil {
+		g.log.Warn("requests cut at the end of the grace", "error", err)
+	}
+	for _, s := range append(g.others, g.callers) {
+		_ = s.Close() // all requests have ended or are cut
+	}
+	g.done.Wait()
+	g.watcher.Close()
+	g.broker.Close()
+	g.node.Close()
+	g.pool.Close()
+	g.store.Close()
+	g.log.Info("stopped")
+	g.lines.Close()
+}
