grant, fleet, route, pool, proofs: Test the path on the users' platform

Unit tests of the decisions, the list of upstreams, the route table and the exchanges with upstreams; process tests of sardinegate against a stand-in of the platform's store and upstreams (standin platform).

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-MODULES := lib sardined sardinectl sardineload standin proofs
-PROGRAMS := sardined sardinectl sardineload standin
+MODULES := lib platform sardined sardinectl sardinegate sardineload standin proofs
+PROGRAMS := sardined sardinectl sardinegate sardineload standin
 LINT := bin/golangci-lint
 LINT_VERSION := v2.15.0
 export CGO_ENABLED := 1
--- a/standin/main.go
+++ b/standin/main.go
@@ -1,4 +1,4 @@
-// Command standin runs stand-ins for the platform's log, its host list and upstreams.
+// Command standin runs stand-ins for the platform's log, its host list and upstreams, and for the users' platform.
 package main
 
 import (
@@ -16,6 +16,7 @@
 	"sardinecross.example/lib/config"
 	"sardinecross.example/standin/hosts"
 	"sardinecross.example/standin/record"
+	"sardinecross.example/standin/users"
 	"sardinecross.example/standin/worker"
 )
 
@@ -30,6 +31,7 @@
        standin log -listen IP:PORT -control IP:PORT [-rate N]
        standin hosts -listen IP:PORT -control IP:PORT
        standin upstreams -listen IP:PORT -control IP:PORT [-workers N] [-service NAME] [-slots N]
+       standin platform -listen IP:PORT -control IP:PORT -upstreams IP:PORT [-workers N]
 `
 
 func main() {
@@ -46,12 +48,14 @@
 	_ standin = (*record.Log)(nil)
 	_ standin = (*hosts.List)(nil)
 	_ standin = (*worker.Fleet)(nil)
+	_ standin = (*users.Site)(nil)
 )
 
 // options are the flags.
 type options struct {
 	settings, service string
 	listen, control   netip.AddrPort
+	upstreams         netip.AddrPort
 	rate              float64
 	workers, slots    int
 }
@@ -85,6 +89,7 @@
 	fs.StringVar(&opt.settings, "settings", "", "settings file; replaces all other flags")
 	fs.TextVar(&opt.listen, "listen", netip.AddrPort{}, "address; upstreams use consecutive ports from here")
 	fs.TextVar(&opt.control, "control", netip.AddrPort{}, "address of POST /control and GET /stats")
+	fs.TextVar(&opt.upstreams, "upstreams", netip.AddrPort{}, "first address of the platform's upstreams")
 	fs.Float64Var(&opt.rate, "rate", opt.rate, "appends per second")
 	fs.IntVar(&opt.workers, "workers", opt.workers, "number of upstreams")
 	fs.StringVar(&opt.service, "service", "booking", "service of the upstreams")
@@ -119,6 +124,11 @@
 		return startHosts(opt)
 	case "upstreams":
 		return startUpstreams(opt)
+	case "platform":
+		if opt.settings != "" || !opt.upstreams.IsValid() {
+			return nil, &UsageError{Problem: "-upstreams is required, and -settings is not taken"}
+		}
+		return users.New(users.Settings{Store: opt.listen, Control: opt.control, Upstreams: opt.upstreams, Each: opt.workers})
 	}
 	return nil, &UsageError{Problem: "no stand-in is called " + name}
 }
