watch, grant: Follow hosts that know more; bound the work below the knee

Hosts now compare positions in their beats and copy what another host knows; a host that starts while the store is away does the same. TestGateForgottenRead fails without it.

--- a/lib/grant/pick.go
+++ b/lib/grant/pick.go
@@ -7,31 +7,38 @@
 	"sardinecross.example/lib/fleet"
 )
 
-// Decide grants an upstream for a, or says why none is granted. rnd is uniform in [0,1) and breaks ties.
+// Decide grants an upstream for a, says why none is granted, or queues the request until Release has room for it. rnd is
+// uniform in [0,1) and breaks ties.
 func (s *State) Decide(now time.Duration, rnd float64, a Ask) Verdict {
 	svc := s.service(a.Service)
-	counts := &svc.budget
-	if a.Alone {
-		counts = &svc.alone
-	}
 	if !a.Repeat {
-		counts.first(now, s.cfg.RepeatWindow)
+		svc.counts(&a).first(now, s.cfg.RepeatWindow)
 	}
-	best, eta, full := s.choose(now, rnd, svc, &a)
-	if best == nil {
-		reason := NoUpstream
-		if full {
-			reason = NoRoom
-		}
-		return Verdict{Reason: reason, RetryAfter: svc.retryAfter(now)}
+	v := s.decide(now, rnd, svc, &a)
+	if v.Reason != NoRoom || a.Alone || a.Hedge || len(svc.waiting) >= maxWaiting {
+		return v
 	}
-	if eta > a.Left && len(best.flights) >= best.slots() {
-		return Verdict{Reason: NoRoom, RetryAfter: svc.retryAfter(now)}
+	svc.waiting = append(svc.waiting, waiter{a, now + time.Duration(holdShare*float64(a.Target))})
+	return Verdict{Reason: Queued}
+}
+
+func (svc *service) counts(a *Ask) *budget {
+	if a.Alone {
+		return &svc.alone
 	}
-	if a.Hedge && !s.worthwhile(now, svc, &a, eta) {
+	return &svc.budget
+}
+
+func (s *State) decide(now time.Duration, rnd float64, svc *service, a *Ask) Verdict {
+	best, eta, full := s.choose(now, rnd, svc, a)
+	switch {
+	case best == nil && full:
+		return Verdict{Reason: NoRoom, RetryAfter: svc.retryAfter(now)}
+	case best == nil:
+		return Verdict{Reason: NoUpstream, RetryAfter: svc.retryAfter(now)}
+	case a.Hedge && !s.worthwhile(now, svc, a, eta):
 		return Verdict{Reason: NoGain}
-	}
-	if a.Repeat && !s.mayRepeat(now, counts, a.Alone) {
+	case a.Repeat && !s.mayRepeat(now, svc.counts(a), a.Alone):
 		return Verdict{Reason: NoBudget, RetryAfter: svc.retryAfter(now)}
 	}
 	v := Verdict{
@@ -49,6 +56,34 @@
 	return v
 }
 
+// Released is the verdict on an ask that was queued.
+type Released struct {
+	ID AskID
+	Verdict
+}
+
+// Release decides on queued asks that have room now or have waited long enough, the most urgent first.
+func (s *State) Release(now time.Duration, rnd float64) []Released {
+	var out []Released
+	for _, svc := range s.services {
+		if len(svc.waiting) == 0 {
+			continue
+		}
+		slices.SortStableFunc(svc.waiting, func(a, b waiter) int { return a.ask.Priority - b.ask.Priority })
+		keep := svc.waiting[:0]
+		for _, w := range svc.waiting {
+			v := s.decide(now, rnd, svc, &w.ask)
+			if v.Reason == NoRoom && now < w.until {
+				keep = append(keep, w)
+				continue
+			}
+			out = append(out, Released{w.ask.ID, v})
+		}
+		svc.waiting = keep
+	}
+	return out
+}
+
 func (s *State) mayRepeat(now time.Duration, counts *budget, alone bool) bool {
 	ratio, slack := s.cfg.RepeatRatio*repeatShare, s.cfg.RepeatSlack*repeatShare
 	if alone {
@@ -60,10 +95,6 @@
 
 // choose returns the upstream with the least expected cost, and whether upstreams were left out for lack of room.
 func (s *State) choose(now time.Duration, rnd float64, svc *service, a *Ask) (best *upstream, eta time.Duration, full bool) {
-	room := normalRoom
-	if a.Priority <= urgentPriority {
-		room = urgentRoom
-	}
 	cross := s.cfg.CrossCost
 	if a.Bulk {
 		cross = s.cfg.BulkCrossCost
@@ -75,7 +106,7 @@
 		if !s.usable(now, svc, u, a) {
 			continue
 		}
-		if float64(u.inflight(now)) >= room*float64(u.slots()) {
+		if u.inflight(now) >= u.room() {
 			full = true
 			continue
 		}
@@ -111,12 +142,6 @@
 func (svc *service) estimate(now time.Duration, u *upstream) time.Duration {
 	n, slots := u.inflight(now), u.slots()
 	t := float64(svc.typical) * u.speed * u.factor(now) / usualFactor
-	if float64(n+1) > kneeShare*float64(slots) {
-		t *= kneeSlowdown
-	}
-	if n >= slots {
-		t += t * float64(n-slots+1) / float64(slots)
-	}
 	if u.isCold(now) {
 		t *= coldSlowdown
 	}
@@ -132,6 +157,9 @@
 	return time.Duration(t)
 }
 
+// room is the number of requests at which an upstream does the most work in a given time.
+func (u *upstream) room() int { return max(int(kneeShare*float64(u.slots())), 1) }
+
 func (u *upstream) silent(now time.Duration) bool {
 	return u.waiting >= 0 && now-u.waiting > silentAfter
 }
--- a/lib/grant/settings.go
+++ b/lib/grant/settings.go
@@ -30,9 +30,8 @@
 	coldBurst = 2.0
 	// coldSlowdown is how much longer work is assumed to take at a cold upstream.
 	coldSlowdown = 2.0
-	// kneeShare is the share of busy slots above which upstreams are assumed to slow down by kneeSlowdown.
-	kneeShare    = 0.8
-	kneeSlowdown = 1.7
+	// kneeShare is the share of busy slots above which upstreams slow down, so that more work is done more slowly.
+	kneeShare = 0.8
 	// usualFactor is the machine factor without contention, in percent; meanFactor is assumed without a report.
 	usualFactor = 100.0
 	meanFactor  = 180.0
@@ -58,10 +57,10 @@
 	speedWeight = 0.1
 	// minSpeed and maxSpeed bound an upstream's ratio to the average.
 	minSpeed, maxSpeed = 0.5, 4.0
-	// urgentRoom and normalRoom bound the requests at an upstream, as multiples of its slots, by priority.
-	urgentRoom, normalRoom = 2.0, 1.6
-	// urgentPriority is the lowest priority that uses urgentRoom.
-	urgentPriority = 1
+	// holdShare is the share of its target for which a request waits for room before it is refused.
+	holdShare = 0.11
+	// maxWaiting bounds the requests that wait for room at one service.
+	maxWaiting = 500
 	// minRetryAfter and maxRetryAfter bound what a refused caller is told.
 	minRetryAfter = 80 * time.Millisecond
 	maxRetryAfter = 600 * time.Millisecond
--- a/lib/grant/state.go
+++ b/lib/grant/state.go
@@ -66,11 +66,13 @@
 	NoRoom
 	NoBudget
 	NoGain
+	// Queued says that the verdict follows.
+	Queued
 )
 
 // String returns the name used in logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"granted", "noUpstream", "noRoom", "noBudget", "noGain"}[r]
+	return [...]string{"granted", "noUpstream", "noRoom", "noBudget", "noGain", "queued"}[r]
 }
 
 // Verdict is the decision on an ask.
@@ -124,6 +126,13 @@
 	typical       time.Duration // average response time at the usual machine factor
 	budget        budget
 	alone         budget
+	waiting       []waiter
+}
+
+// waiter is an ask that waits for room.
+type waiter struct {
+	ask   Ask
+	until time.Duration
 }
 
 // State holds the upstreams of all services as far as this host knows them.
--- a/sardinegate/broker/broker.go
+++ b/sardinegate/broker/broker.go
@@ -140,12 +140,15 @@
 	now := b.now()
 	b.mu.Lock()
 	owner := b.owner(now, a.Service)
+	answer := make(chan grant.Verdict, 2)
 	if owner == b.deps.Host {
 		v := b.state.Decide(now, rand.Float64(), a)
-		b.mu.Unlock()
-		return Grant{v, a.ID, owner}
+		if v.Reason != grant.Queued {
+			b.mu.Unlock()
+			return Grant{v, a.ID, owner}
+		}
+		answer <- v
 	}
-	answer := make(chan grant.Verdict, 1)
 	b.pending[a.ID.Seq] = answer
 	b.mu.Unlock()
 	defer func() {
@@ -153,15 +156,23 @@
 		delete(b.pending, a.ID.Seq)
 		b.mu.Unlock()
 	}()
-	b.deps.Node.Send(owner, &mesh.Message{Ask: &a})
+	if owner != b.deps.Host {
+		b.deps.Node.Send(owner, &mesh.Message{Ask: &a})
+	}
 	t := time.NewTimer(askTimeout)
 	defer t.Stop()
-	select {
-	case v := <-answer:
-		return Grant{v, a.ID, owner}
-	case <-ctx.Done():
-		return Grant{grant.Verdict{Reason: grant.NoUpstream}, a.ID, owner}
-	case <-t.C:
+	for waiting := true; waiting; {
+		select {
+		case v := <-answer:
+			if v.Reason != grant.Queued {
+				return Grant{v, a.ID, owner}
+			}
+			t.Reset(a.Target) // the owner refuses before that
+		case <-ctx.Done():
+			return Grant{grant.Verdict{Reason: grant.NoUpstream}, a.ID, owner}
+		case <-t.C:
+			waiting = false
+		}
 	}
 	b.Alone.Add(1)
 	a.Alone = true
@@ -182,7 +193,9 @@
 	b.mu.Unlock()
 	if g.By != b.deps.Host {
 		b.deps.Node.Send(g.By, &mesh.Message{Done: &d})
+		return
 	}
+	b.release()
 }
 
 // Handle takes the messages that concern grants.
@@ -193,26 +206,14 @@
 		b.mu.Lock()
 		v := b.state.Decide(now, rand.Float64(), *m.Ask)
 		b.mu.Unlock()
-		b.deps.Node.Send(m.From, &mesh.Message{Verdict: &mesh.Verdict{Seq: m.Ask.ID.Seq, Verdict: v}})
+		b.tell(m.Ask.ID, v)
 	case m.Verdict != nil:
-		b.mu.Lock()
-		answer := b.pending[m.Verdict.Seq]
-		delete(b.pending, m.Verdict.Seq)
-		delete(b.suspect, m.From)
-		b.mu.Unlock()
-		if answer != nil {
-			answer <- m.Verdict.Verdict
-		} else if m.Verdict.Verdict.Upstream != "" {
-			b.deps.Node.Send(m.From, &mesh.Message{Done: &grant.Done{
-				ID:       grant.AskID{Host: b.deps.Host, Seq: m.Verdict.Seq},
-				Upstream: m.Verdict.Verdict.Upstream,
-				Outcome:  grant.Unused,
-			}})
-		}
+		b.resolve(m.From, m.Verdict.Seq, m.Verdict.Verdict)
 	case m.Done != nil:
 		b.mu.Lock()
 		b.state.Finish(now, *m.Done)
 		b.mu.Unlock()
+		b.release()
 	case m.Beat != nil:
 		b.mu.Lock()
 		for id, left := range m.Beat.Cold {
@@ -222,6 +223,46 @@
 	}
 }
 
+// tell sends a verdict to the host that asked.
+func (b *Broker) tell(id grant.AskID, v grant.Verdict) {
+	if id.Host == b.deps.Host {
+		b.resolve(id.Host, id.Seq, v)
+		return
+	}
+	b.deps.Node.Send(id.Host, &mesh.Message{Verdict: &mesh.Verdict{Seq: id.Seq, Verdict: v}})
+}
+
+// resolve hands a verdict to the request that waits for it; a grant that nobody waits for is returned.
+func (b *Broker) resolve(from string, seq uint64, v grant.Verdict) {
+	b.mu.Lock()
+	answer := b.pending[seq]
+	if v.Reason != grant.Queued {
+		delete(b.pending, seq)
+	}
+	delete(b.suspect, from)
+	b.mu.Unlock()
+	if answer != nil {
+		select {
+		case answer <- v:
+			return
+		default: // a doubled datagram
+		}
+	}
+	if v.Upstream != "" {
+		b.Finish(Grant{v, grant.AskID{Host: b.deps.Host, Seq: seq}, from}, grant.Done{Outcome: grant.Unused})
+	}
+}
+
+// release decides on the asks that wait for room.
+func (b *Broker) release() {
+	b.mu.Lock()
+	released := b.state.Release(b.now(), rand.Float64())
+	b.mu.Unlock()
+	for _, r := range released {
+		b.tell(r.ID, r.Verdict)
+	}
+}
+
 // Cold returns the upstreams of services owned by this host that are cold.
 func (b *Broker) Cold() map[string]time.Duration {
 	now := b.now()
--- a/sardinegate/broker/probe.go
+++ b/sardinegate/broker/probe.go
@@ -29,6 +29,7 @@
 		select {
 		case <-t.C:
 			b.probeDue(ctx)
+			b.release()
 		case <-ctx.Done():
 			return
 		}
--- a/sardinegate/gate.go
+++ b/sardinegate/gate.go
@@ -39,9 +39,9 @@
 	// fewLocal is the number of hosts in a data centre below which its callers also get hosts elsewhere.
 	fewLocal = 2
 	// lastWork is the part of the grace that is left for requests in flight after the listeners closed.
-	lastWork = 1800 * time.Millisecond
+	lastWork = 2 * time.Second
 	// exitMargin is the part of the grace that is left for the end of the process.
-	exitMargin = 300 * time.Millisecond
+	exitMargin = 600 * time.Millisecond
 	// maxHeaderBytes bounds request headers before a configuration is known.
 	maxHeaderBytes = 64 << 10
 	// readHeaderTimeout and idleTimeout are above the limits that operators set.
@@ -170,6 +170,7 @@
 		{s.Ready, nil, platform.Ready(g)},
 		{s.Directory, nil, platform.Directory(g)},
 		{netip.AddrPortFrom(netip.MustParseAddr(s.IP), metricsPort).String(), nil, mux},
+		{netip.AddrPortFrom(netip.MustParseAddr(s.IP), uint16(s.Internal)).String(), nil, g.watcher},
 	} {
 		if l.addr == "" {
 			continue
--- a/sardinegate/watch/list.go
+++ b/sardinegate/watch/list.go
@@ -43,6 +43,9 @@
 			failures = 0
 			continue
 		}
+		if !known {
+			known = w.copyList(ctx)
+		}
 		if !pause.For(ctx, backoff(failures)) {
 			return
 		}
@@ -50,6 +53,21 @@
 	}
 }
 
+// copyList takes over the list from another host and reports whether there is one now.
+func (w *Watcher) copyList(ctx context.Context) bool {
+	for _, m := range w.deps.Node.Alive() {
+		if !m.Ready {
+			continue
+		}
+		if err := w.copyFrom(ctx, m); err != nil {
+			w.deps.Log.Warn("knowledge not copied", "host", m.Host, "error", err)
+			continue
+		}
+		return w.View().Listed
+	}
+	return false
+}
+
 func (w *Watcher) expire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/sardinegate/watch/watch.go
+++ b/sardinegate/watch/watch.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"sardinecross.example/lib/common/httpc"
 	"sardinecross.example/lib/common/pause"
 	"sardinecross.example/lib/fleet"
 	"sardinecross.example/sardinegate/mesh"
@@ -49,6 +50,7 @@
 	stop  context.CancelFunc
 	done  sync.WaitGroup
 	view  atomic.Pointer[fleet.View]
+	peers *httpc.Client
 
 	// Calls and Failed count calls to the store; Operators is the position in the operators' records.
 	Calls, Failed atomic.Int64
@@ -62,11 +64,16 @@
 	failed time.Duration
 	// down is set between a failed call and the next that succeeds.
 	down bool
+	// cancelPoll ends the read of operators' records that waits; it was sent with an outdated position.
+	cancelPoll context.CancelFunc
 }
 
 // New returns a watcher with an empty view. Start makes it watch.
 func New(deps Deps) *Watcher {
-	w := &Watcher{deps: deps, start: time.Now(), list: fleet.NewList(), records: make(map[string]fleet.Record), failed: -outageMemory}
+	w := &Watcher{
+		deps: deps, start: time.Now(), peers: newPeers(),
+		list: fleet.NewList(), records: make(map[string]fleet.Record), failed: -outageMemory,
+	}
 	w.view.Store(&fleet.View{})
 	return w
 }
@@ -78,12 +85,14 @@
 	w.done.Go(func() { w.watchOperators(ctx) })
 	w.done.Go(func() { w.watchList(ctx) })
 	w.done.Go(func() { w.announce(ctx) })
+	w.done.Go(func() { w.followPeers(ctx) })
 }
 
 // Close stops the watcher and waits.
 func (w *Watcher) Close() {
 	w.stop()
 	w.done.Wait()
+	w.peers.Close()
 }
 
 // View returns the present view.
@@ -161,6 +170,12 @@
 	if end < w.operators.Load() {
 		return &StaleError{Have: w.operators.Load(), Got: end}
 	}
+	w.replaceOperators(records, end)
+	return nil
+}
+
+// replaceOperators takes over the newest records of all keys. The mutex is held.
+func (w *Watcher) replaceOperators(records []fleet.Record, end int64) {
 	named := make(map[string]struct{}, len(records))
 	for _, r := range records {
 		named[r.Key] = struct{}{}
@@ -171,13 +186,20 @@
 		}
 	}
 	w.applyOperators(records, end)
-	return nil
 }
 
 // readOperators returns known as false if the records have to be read anew.
 func (w *Watcher) readOperators(ctx context.Context) (known bool, err error) {
 	from := w.operators.Load()
-	records, next, err := w.deps.Source.Read(ctx, fleet.Operators, from, waitOperators)
+	poll, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w.mu.Lock()
+	w.cancelPoll = cancel
+	w.mu.Unlock()
+	records, next, err := w.deps.Source.Read(poll, fleet.Operators, from, waitOperators)
+	if err != nil && poll.Err() != nil && ctx.Err() == nil {
+		return true, nil // another host told more meanwhile
+	}
 	if isGap(err) {
 		w.called(ctx, "operators' records", nil)
 		w.deps.Log.Info("operators' records were deleted", "from", from)
@@ -216,6 +238,9 @@
 		changed = w.obey(&v, out, order) || changed
 	}
 	w.operators.Store(next)
+	if w.cancelPoll != nil {
+		w.cancelPoll()
+	}
 	if changed {
 		v.Out = out
 		w.publish(&v)
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -73,6 +73,15 @@
 	s.mode = m
 }
 
+// Deafen makes the reads that wait at present miss all growth, as after a network fault.
+func (s *Store) Deafen() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.topics {
+		t.grown = make(chan struct{})
+	}
+}
+
 // Calls returns the number of calls so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
--- a/standin/users/users.go
+++ b/standin/users/users.go
@@ -151,6 +151,8 @@
 type Command struct {
 	// Store is the mode of the store; Forget deletes the history of a topic.
 	Store, Forget string
+	// Deafen makes the reads that wait at present miss all growth.
+	Deafen bool
 	// Prefixes are further prefixes of a new configuration.
 	Prefixes []string
 	// Out and Back are zones to take out of service and back.
@@ -185,6 +187,9 @@
 	if c.Forget != "" {
 		s.store.Forget(c.Forget)
 	}
+	if c.Deafen {
+		s.store.Deafen()
+	}
 	if c.Prefixes != nil {
 		s.configure(c.Prefixes)
 	}
