--- a/lib/grant/pick.go
+++ b/lib/grant/pick.go
@@ -93,20 +93,23 @@
 	return counts.repeat(now, s.cfg.RepeatWindow, ratio, slack)
 }
 
-// choose returns the upstream with the least expected cost, and whether upstreams were left out for lack of room.
+// choose returns the upstream with the least expected cost, and whether upstreams were left out for lack of room. Single
+// upstreams may work above their knee if that is quicker than another one; all of them together may not.
 func (s *State) choose(now time.Duration, rnd float64, svc *service, a *Ask) (best *upstream, eta time.Duration, full bool) {
 	cross := s.cfg.CrossCost
 	if a.Bulk {
 		cross = s.cfg.BulkCrossCost
 	}
-	bestCost := 0.0
+	bestCost, room := 0.0, 0
 	n := len(svc.upstreams)
 	for i := range n {
 		u := svc.upstreams[(i+int(rnd*float64(n)))%n]
 		if !s.usable(now, svc, u, a) {
 			continue
 		}
-		if u.inflight(now) >= u.room() {
+		inflight := u.inflight(now)
+		room += u.room() - inflight
+		if inflight >= u.slots() {
 			full = true
 			continue
 		}
@@ -119,6 +122,9 @@
 			best, bestCost, eta = u, cost, t
 		}
 	}
+	if room <= 0 {
+		return nil, 0, best != nil || full
+	}
 	return best, eta, full
 }
 
@@ -142,6 +148,9 @@
 func (svc *service) estimate(now time.Duration, u *upstream) time.Duration {
 	n, slots := u.inflight(now), u.slots()
 	t := float64(svc.typical) * u.speed * u.factor(now) / usualFactor
+	if n >= u.room() {
+		t *= kneeSlowdown
+	}
 	if u.isCold(now) {
 		t *= coldSlowdown
 	}
--- a/lib/grant/settings.go
+++ b/lib/grant/settings.go
@@ -32,6 +32,8 @@
 	coldSlowdown = 2.0
 	// kneeShare is the share of busy slots above which upstreams slow down, so that more work is done more slowly.
 	kneeShare = 0.8
+	// kneeSlowdown is how much longer work is assumed to take above it.
+	kneeSlowdown = 1.7
 	// usualFactor is the machine factor without contention, in percent; meanFactor is assumed without a report.
 	usualFactor = 100.0
 	meanFactor  = 180.0
