grant, broker: Offer second attempts from the owner

The owner sees a machine slow down first, so it offers the second attempt instead of waiting for the host's question.

--- a/lib/grant/pick.go
+++ b/lib/grant/pick.go
@@ -52,10 +52,48 @@
 		best.tokens--
 	}
 	best.advance(now)
-	best.flights[a.ID] = flight{start: now, work: best.work, expires: now + a.Left + time.Second}
+	best.flights[a.ID] = flight{ask: *a, start: now, work: best.work, expires: now + a.Left + time.Second}
 	return v
 }
 
+// Offer grants second upstreams to requests in flight that would otherwise be late, and would end earlier there.
+func (s *State) Offer(now time.Duration, rnd float64) []Released {
+	var out []Released
+	for _, u := range s.byID {
+		svc := s.service(u.Service)
+		for id, f := range u.flights {
+			a := f.ask
+			if a.Once || a.More < 1 || a.Repeat || f.hedged || a.Alone {
+				continue
+			}
+			a.Elapsed += now - f.start
+			a.Left -= now - f.start
+			if a.Elapsed+svc.remaining(now, u, f) <= a.Target {
+				continue
+			}
+			a.Tried = append(slices.Clone(a.Tried), u.ID)
+			a.ID, a.Beside, a.Hedge, a.Repeat, a.More = id.Second(), id.Seq, true, true, a.More-1
+			if v := s.decide(now, rnd, svc, &a); v.Upstream != "" {
+				f.hedged = true
+				u.flights[id] = f
+				out = append(out, Released{a.ID, v})
+			}
+		}
+	}
+	return out
+}
+
+// remaining estimates the time until the response of an attempt.
+func (svc *service) remaining(now time.Duration, u *upstream, f flight) time.Duration {
+	u.advance(now)
+	rest := float64(svc.typical)*u.speed - (u.work-f.work)*float64(time.Second)
+	t := max(rest, float64(svc.typical)*leastRest) * u.factor(now) / usualFactor
+	if u.silent(now) {
+		t *= silentSlowdown
+	}
+	return time.Duration(t)
+}
+
 // Released is the verdict on an ask that was queued.
 type Released struct {
 	ID AskID
@@ -182,18 +220,12 @@
 	if u == nil {
 		return true
 	}
-	u.advance(now)
 	f, ok := u.flights[AskID{Host: a.ID.Host, Seq: a.Beside}]
 	if !ok {
 		return a.Elapsed > a.Target/2
 	}
-	rest := float64(svc.typical)*u.speed - (u.work-f.work)*float64(time.Second)
-	remaining := max(rest, float64(svc.typical)/4) * u.factor(now) / usualFactor
-	if u.silent(now) {
-		remaining *= silentSlowdown
-	}
-	late := a.Elapsed+time.Duration(remaining) > a.Target
-	return late && float64(eta) < remaining*(1-hedgeGain)
+	remaining := svc.remaining(now, u, f)
+	return a.Elapsed+remaining > a.Target && float64(eta) < float64(remaining)*(1-hedgeGain)
 }
 
 // retryAfter is when a refused caller should come back: about the time in which a slot is freed.
--- a/lib/grant/settings.go
+++ b/lib/grant/settings.go
@@ -66,6 +66,8 @@
 	// minRetryAfter and maxRetryAfter bound what a refused caller is told.
 	minRetryAfter = 80 * time.Millisecond
 	maxRetryAfter = 600 * time.Millisecond
+	// leastRest is the least part of a typical response time that is assumed to remain.
+	leastRest = 0.25
 	// hedgeGain is the share of the expected remaining time that a second attempt has to save.
 	hedgeGain = 0.25
 )
--- a/lib/grant/state.go
+++ b/lib/grant/state.go
@@ -33,6 +33,17 @@
 	Seq  uint64
 }
 
+// second marks the sequence number of a second attempt that the owner offers.
+const second = 1 << 63
+
+// Second returns the ID of the second attempt that the owner offers for an ask.
+func (id AskID) Second() AskID { return AskID{Host: id.Host, Seq: id.Seq | second} }
+
+// First returns the ID of the ask for which a second attempt was offered; ok is false for other IDs.
+func (id AskID) First() (first AskID, ok bool) {
+	return AskID{Host: id.Host, Seq: id.Seq &^ second}, id.Seq&second != 0
+}
+
 // Ask is a host's request for an upstream.
 type Ask struct {
 	_          struct{} `cbor:",toarray"`
@@ -47,6 +58,8 @@
 	Elapsed time.Duration
 	// Tried are the upstreams to which the request was sent.
 	Tried []string
+	// More is the number of further upstreams to which the request may be sent.
+	More int
 	// Repeat says that the attempt counts against the retry budget.
 	Repeat bool
 	// Hedge asks for a second attempt beside the one at the last of Tried, begun by the ask Beside.
@@ -91,7 +104,9 @@
 
 // flight is a granted attempt that has not ended.
 type flight struct {
-	start time.Duration
+	ask    Ask
+	hedged bool
+	start  time.Duration
 	// work is the upstream's work integral at the start.
 	work    float64
 	expires time.Duration
--- a/sardinegate/broker/broker.go
+++ b/sardinegate/broker/broker.go
@@ -67,6 +67,8 @@
 	mu      sync.Mutex
 	state   *grant.State
 	pending map[uint64]chan grant.Verdict
+	// seconds takes the second attempts that owners offer for the asks of this host.
+	seconds map[uint64]chan<- Grant
 	suspect map[string]time.Duration
 	orders  map[string]ownerOrder
 	probes  map[string]*probe
@@ -81,6 +83,7 @@
 		stop:    cancel,
 		state:   grant.New(settings),
 		pending: make(map[uint64]chan grant.Verdict),
+		seconds: make(map[uint64]chan<- Grant),
 		suspect: make(map[string]time.Duration),
 		orders:  make(map[string]ownerOrder),
 		probes:  make(map[string]*probe),
@@ -134,11 +137,23 @@
 	return b.deps.Host
 }
 
-// Ask returns a decision on an ask: the owner's, or that of this host if the owner does not answer in time.
-func (b *Broker) Ask(ctx context.Context, a grant.Ask) Grant {
+// Ask returns a decision on an ask: the owner's, or that of this host if the owner does not answer in time. Until the
+// attempt is finished, the owner may offer a second one, which seconds takes; it must not block.
+func (b *Broker) Ask(ctx context.Context, a grant.Ask, seconds chan<- Grant) Grant {
+	g := b.ask(ctx, a, seconds)
+	if g.Upstream == "" {
+		b.forget(g.ID.Seq)
+	}
+	return g
+}
+
+func (b *Broker) ask(ctx context.Context, a grant.Ask, seconds chan<- Grant) Grant {
 	a.ID = grant.AskID{Host: b.deps.Host, Seq: b.seq.Add(1)}
 	now := b.now()
 	b.mu.Lock()
+	if seconds != nil {
+		b.seconds[a.ID.Seq] = seconds
+	}
 	owner := b.owner(now, a.Service)
 	answer := make(chan grant.Verdict, 2)
 	if owner == b.deps.Host {
@@ -185,10 +200,18 @@
 	return Grant{v, a.ID, b.deps.Host}
 }
 
+// forget drops the channel of a refused ask.
+func (b *Broker) forget(seq uint64) {
+	b.mu.Lock()
+	delete(b.seconds, seq)
+	b.mu.Unlock()
+}
+
 // Finish reports the end of an attempt to the host that granted it.
 func (b *Broker) Finish(g Grant, d grant.Done) {
 	d.ID, d.Upstream = g.ID, g.Upstream
 	b.mu.Lock()
+	delete(b.seconds, d.ID.Seq)
 	b.state.Finish(b.now(), d)
 	b.mu.Unlock()
 	if g.By != b.deps.Host {
@@ -234,7 +257,14 @@
 
 // resolve hands a verdict to the request that waits for it; a grant that nobody waits for is returned.
 func (b *Broker) resolve(from string, seq uint64, v grant.Verdict) {
+	g := Grant{v, grant.AskID{Host: b.deps.Host, Seq: seq}, from}
 	b.mu.Lock()
+	if first, ok := g.ID.First(); ok {
+		seconds := b.seconds[first.Seq]
+		b.mu.Unlock()
+		b.offer(seconds, g)
+		return
+	}
 	answer := b.pending[seq]
 	if v.Reason != grant.Queued {
 		delete(b.pending, seq)
@@ -249,7 +279,16 @@
 		}
 	}
 	if v.Upstream != "" {
-		b.Finish(Grant{v, grant.AskID{Host: b.deps.Host, Seq: seq}, from}, grant.Done{Outcome: grant.Unused})
+		b.Finish(g, grant.Done{Outcome: grant.Unused})
+	}
+}
+
+// offer hands a second attempt to its request; one that is not taken is returned.
+func (b *Broker) offer(seconds chan<- Grant, g Grant) {
+	select {
+	case seconds <- g: // never ready if the request has ended
+	default:
+		b.Finish(g, grant.Done{Outcome: grant.Unused})
 	}
 }
 
@@ -258,6 +297,18 @@
 	b.mu.Lock()
 	released := b.state.Release(b.now(), rand.Float64())
 	b.mu.Unlock()
+	b.tellAll(released)
+}
+
+// hedge offers second attempts to requests in flight.
+func (b *Broker) hedge() {
+	b.mu.Lock()
+	offered := b.state.Offer(b.now(), rand.Float64())
+	b.mu.Unlock()
+	b.tellAll(offered)
+}
+
+func (b *Broker) tellAll(released []grant.Released) {
 	for _, r := range released {
 		b.tell(r.ID, r.Verdict)
 	}
--- a/sardinegate/broker/probe.go
+++ b/sardinegate/broker/probe.go
@@ -30,6 +30,7 @@
 		case <-t.C:
 			b.probeDue(ctx)
 			b.release()
+			b.hedge()
 		case <-ctx.Done():
 			return
 		}
--- a/sardinegate/entry/entry.go
+++ b/sardinegate/entry/entry.go
@@ -33,7 +33,8 @@
 
 // Granter finds upstreams.
 type Granter interface {
-	Ask(ctx context.Context, a grant.Ask) broker.Grant
+	// Ask returns a grant or a refusal; until the attempt is finished, a second one may be offered to seconds.
+	Ask(ctx context.Context, a grant.Ask, seconds chan<- broker.Grant) broker.Grant
 	Finish(g broker.Grant, d grant.Done)
 }
 
@@ -84,6 +85,8 @@
 	body     []byte
 	further  io.Reader
 	attempts []*attempt
+	// seconds takes second attempts that the owner offers; nil if the request may not be repeated.
+	seconds chan broker.Grant
 }
 
 // ServeHTTP implements http.Handler.
--- a/sardinegate/entry/run.go
+++ b/sardinegate/entry/run.go
@@ -17,8 +17,9 @@
 
 const (
 	// hedgeFirst and hedgeStep are when a second attempt is considered, as shares of the target.
-	hedgeFirst = 0.35
-	hedgeStep  = 0.12
+	// Owners offer second attempts earlier; this is for requests whose owner is gone.
+	hedgeFirst = 0.55
+	hedgeStep  = 0.2
 	// hedgeLast is the share of the target after which a second attempt is not considered any more.
 	hedgeLast = 0.95
 )
@@ -86,6 +87,10 @@
 	ended := make(chan *attempt, c.route.MaxAttempts)
 	hedge := time.NewTimer(time.Duration(hedgeFirst * float64(c.route.Target)))
 	defer hedge.Stop()
+	if c.route.Kind.MayRepeat() && c.further == nil {
+		c.seconds = make(chan broker.Grant, 1)
+		defer h.returnSeconds(c)
+	}
 	running := 0
 	if refused := h.start(ctx, c, ended, false, false); refused != nil {
 		return refused
@@ -107,6 +112,11 @@
 				defer c.cancelExcept(nil)
 				return h.give(ctx, c)
 			}
+		case g := <-c.seconds:
+			if running != 1 || len(c.attempts) >= c.route.MaxAttempts || h.send(ctx, c, ended, g, true) != nil {
+				continue
+			}
+			running++
 		case <-hedge.C:
 			elapsed := time.Since(c.arrived)
 			if !c.route.Kind.MayRepeat() || len(c.attempts) >= c.route.MaxAttempts || elapsed > time.Duration(hedgeLast*float64(c.route.Target)) {
@@ -122,6 +132,15 @@
 	}
 }
 
+// returnSeconds returns offers that were not taken.
+func (h *Handler) returnSeconds(c *call) {
+	select {
+	case g := <-c.seconds:
+		h.deps.Grants.Finish(g, grant.Done{Outcome: grant.Unused})
+	default:
+	}
+}
+
 // cancelExcept ends all attempts but one, whose response may still be read.
 func (c *call) cancelExcept(keep *attempt) {
 	for _, a := range c.attempts {
@@ -150,6 +169,7 @@
 		Target:     c.route.Target,
 		Left:       time.Until(c.deadline),
 		Elapsed:    time.Since(c.arrived),
+		More:       c.route.MaxAttempts - len(c.attempts) - 1,
 		Repeat:     repeat,
 		Hedge:      hedge,
 	}
@@ -157,10 +177,15 @@
 		ask.Tried = append(ask.Tried, a.grant.Upstream)
 		ask.Beside = a.grant.ID.Seq
 	}
-	g := h.deps.Grants.Ask(ctx, ask)
+	g := h.deps.Grants.Ask(ctx, ask, c.seconds)
 	if g.Upstream == "" {
 		return refuse(http.StatusServiceUnavailable, g.Reason.String(), g.RetryAfter)
 	}
+	return h.send(ctx, c, ended, g, hedge)
+}
+
+// send begins the attempt of a grant, or returns the grant and says why.
+func (h *Handler) send(ctx context.Context, c *call, ended chan<- *attempt, g broker.Grant, hedge bool) *outcome {
 	view := h.deps.View()
 	u, ok := view.Upstreams[g.Upstream]
 	if !ok || !view.Usable(u, c.service) || ctx.Err() != nil {
--- a/sardinegate/gate.go
+++ b/sardinegate/gate.go
@@ -32,8 +32,8 @@
 	// probesPerSecond is the rate of probes at one upstream, unless the platform allows less.
 	probesPerSecond = 20.0
 	// crossCost and bulkCrossCost are what an upstream in another data centre costs, as a share of a response time.
-	crossCost     = 0.25
-	bulkCrossCost = 0.6
+	crossCost     = 0.5
+	bulkCrossCost = 2.2
 	// addressLifetime is how long callers keep addresses.
 	addressLifetime = 2 * time.Second
 	// fewLocal is the number of hosts in a data centre below which its callers also get hosts elsewhere.
