front: Serve pipelined requests side by side

The standard server begins a request after the response before it, so front reads requests ahead, keeps the order of responses and sees a caller leave at any time.

--- a/sardinegate/entry/entry.go
+++ b/sardinegate/entry/entry.go
@@ -57,7 +57,6 @@
 	Sender     Sender
 	Dialect    fleet.Dialect
 	View       func() *fleet.View
-	Leaving    func() bool
 	Record     Recorder
 	Log        *slog.Logger
 }
@@ -91,9 +90,6 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if h.deps.Leaving() {
-		w.Header().Set("Connection", "close")
-	}
 	c := &call{arrived: time.Now(), r: r, view: h.deps.View()}
 	if o := h.admit(c); o != nil {
 		h.end(w, c, o)
--- a/sardinegate/gate.go
+++ b/sardinegate/gate.go
@@ -19,6 +19,7 @@
 	"sardinecross.example/platform"
 	"sardinecross.example/sardinegate/broker"
 	"sardinecross.example/sardinegate/entry"
+	"sardinecross.example/sardinegate/front"
 	"sardinecross.example/sardinegate/lines"
 	"sardinecross.example/sardinegate/mesh"
 	"sardinecross.example/sardinegate/pool"
@@ -42,9 +43,7 @@
 	lastWork = 2 * time.Second
 	// exitMargin is the part of the grace that is left for the end of the process.
 	exitMargin = 600 * time.Millisecond
-	// maxHeaderBytes bounds request headers before a configuration is known.
-	maxHeaderBytes = 64 << 10
-	// readHeaderTimeout and idleTimeout are above the limits that operators set.
+	// readHeaderTimeout and idleTimeout are for the platform and other hosts.
 	readHeaderTimeout = 30 * time.Second
 	idleTimeout       = 90 * time.Second
 )
@@ -61,7 +60,7 @@
 	pool     *pool.Pool
 	broker   *broker.Broker
 	leaving  atomic.Bool
-	callers  *http.Server
+	callers  *front.Server
 	others   []*http.Server
 	done     sync.WaitGroup
 }
@@ -149,28 +148,22 @@
 // listen opens all listeners.
 func (g *gate) listen(set *stats.Set) error {
 	s := g.settings
-	g.callers = &http.Server{
-		Handler: entry.New(entry.Deps{
-			Host: s.Host, DataCentre: s.DataCentre, Grants: g.broker, Sender: g.pool, Dialect: platform.Dialect{},
-			View: g.watcher.View, Leaving: g.leaving.Load, Record: set, Log: g.log,
-		}),
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
-	}
+	g.callers = &front.Server{Log: g.log, Handler: entry.New(entry.Deps{
+		Host: s.Host, DataCentre: s.DataCentre, Grants: g.broker, Sender: g.pool, Dialect: platform.Dialect{},
+		View: g.watcher.View, Record: set, Log: g.log,
+	})}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", set)
+	ip := netip.MustParseAddr(s.IP)
 	for _, l := range []struct {
 		addr    string
-		server  *http.Server
-		handler http.Handler
+		handler http.Handler // nil for callers
 	}{
-		{s.Callers, g.callers, nil},
-		{s.Ready, nil, platform.Ready(g)},
-		{s.Directory, nil, platform.Directory(g)},
-		{netip.AddrPortFrom(netip.MustParseAddr(s.IP), metricsPort).String(), nil, mux},
-		{netip.AddrPortFrom(netip.MustParseAddr(s.IP), uint16(s.Internal)).String(), nil, g.watcher},
+		{s.Callers, nil},
+		{s.Ready, platform.Ready(g)},
+		{s.Directory, platform.Directory(g)},
+		{netip.AddrPortFrom(ip, metricsPort).String(), mux},
+		{netip.AddrPortFrom(ip, uint16(s.Internal)).String(), g.watcher},
 	} {
 		if l.addr == "" {
 			continue
@@ -179,15 +172,22 @@
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
-		if l.server == nil {
-			l.server = &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-			g.others = append(g.others, l.server)
-		}
-		g.done.Go(func() { _ = l.server.Serve(ln) }) // always ends with ErrServerClosed
+		g.serveOn(ln, l.handler)
 	}
 	return nil
 }
 
+// serveOn serves a listener until shutdown.
+func (g *gate) serveOn(ln net.Listener, h http.Handler) {
+	serve := g.callers.Serve
+	if h != nil {
+		server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+		g.others = append(g.others, server)
+		serve = server.Serve
+	}
+	g.done.Go(func() { _ = serve(ln) }) // always ends with ErrServerClosed
+}
+
 // Ready implements platform.Addresses.
 func (g *gate) Ready() bool {
 	v := g.watcher.View()
@@ -243,6 +243,7 @@
 // shutdown takes the host out of the directory, serves what still arrives, and ends within the grace.
 func (g *gate) shutdown(signals <-chan os.Signal) {
 	g.leaving.Store(true)
+	g.callers.Leave()
 	g.node.Beat()
 	select {
 	case <-time.After(g.settings.Grace - lastWork):
@@ -253,8 +254,9 @@
 	if err := g.callers.Shutdown(ctx); err != nil {
 		g.log.Warn("requests cut at the end of the grace", "error", err)
 	}
-	for _, s := range append(g.others, g.callers) {
-		_ = s.Close() // all requests have ended or are cut
+	g.callers.Close()
+	for _, s := range g.others {
+		_ = s.Close() // nothing is left to answer
 	}
 	g.done.Wait()
 	g.watcher.Close()
