--- a/lib/grant/state.go
+++ b/lib/grant/state.go
@@ -241,6 +241,14 @@
 	u.cold = now + left
 }
 
+// Reported returns when an upstream last told its load, -1 if it has not.
+func (s *State) Reported(id string) time.Duration {
+	if u := s.byID[id]; u != nil {
+		return u.reported
+	}
+	return -1
+}
+
 // Probed notes that a probe was sent.
 func (s *State) Probed(now time.Duration, id string) {
 	if u := s.byID[id]; u != nil && u.waiting < 0 {
--- a/sardinegate/broker/probe.go
+++ b/sardinegate/broker/probe.go
@@ -5,13 +5,18 @@
 	"net/http"
 	"time"
 
+	"sardinecross.example/lib/common/pause"
 	"sardinecross.example/lib/fleet"
 	"sardinecross.example/sardinegate/pool"
 )
 
 const (
-	// probeTick is the time between searches for upstreams to probe.
+	// probeTick is the time between searches for upstreams to probe, idleTick the same on a host that owns no service.
 	probeTick = 10 * time.Millisecond
+	idleTick  = 100 * time.Millisecond
+	// probeAtLeast is the longest time between probes of an upstream whose responses tell its load: only responses to
+	// probes tell that it is cold.
+	probeAtLeast = 150 * time.Millisecond
 	// probeTimeout ends a probe; meanwhile the upstream gets no other.
 	probeTimeout = time.Second
 )
@@ -19,29 +24,26 @@
 // probe is the state of the probes of one upstream.
 type probe struct {
 	due     time.Duration
+	sent    time.Duration
 	running bool
 }
 
 func (b *Broker) probeLoop(ctx context.Context) {
-	t := time.NewTicker(probeTick)
-	defer t.Stop()
-	for {
-		select {
-		case <-t.C:
-			b.probeDue(ctx)
-			b.release()
-			b.hedge()
-		case <-ctx.Done():
-			return
+	for tick := idleTick; pause.For(ctx, tick); {
+		tick = idleTick
+		if b.probeDue(ctx) {
+			tick = probeTick
 		}
+		b.release()
+		b.hedge()
 	}
 }
 
-// probeDue starts the probes that are due at upstreams of services that this host owns.
-func (b *Broker) probeDue(ctx context.Context) {
+// probeDue starts the probes that are due at upstreams of services that this host owns, and reports whether it owns any.
+func (b *Broker) probeDue(ctx context.Context) (owns bool) {
 	v := b.deps.View()
 	if v.Routes == nil {
-		return
+		return false
 	}
 	now := b.now()
 	b.mu.Lock()
@@ -56,19 +58,21 @@
 		if !ok || svc.HealthPath == "" || !v.Usable(u, u.Service) || b.owner(now, u.Service) != b.deps.Host {
 			continue
 		}
+		owns = true
 		p := b.probes[id]
 		if p == nil {
 			p = &probe{}
 			b.probes[id] = p
 		}
-		if p.running || now < p.due {
+		if p.running || now < p.due || now < b.state.Reported(id)+b.deps.ProbeEvery && now < p.sent+probeAtLeast {
 			continue
 		}
-		p.running, p.due = true, max(p.due+b.deps.ProbeEvery, now+b.deps.ProbeEvery/2)
+		p.running, p.sent, p.due = true, now, max(p.due+b.deps.ProbeEvery, now+b.deps.ProbeEvery/2)
 		b.state.Probed(now, id)
 		b.Probes.Add(1)
 		b.done.Go(func() { b.probe(ctx, p, u, svc.HealthPath) })
 	}
+	return owns
 }
 
 func (b *Broker) probe(ctx context.Context, p *probe, u fleet.Upstream, path string) {
--- a/sardinegate/gate.go
+++ b/sardinegate/gate.go
@@ -31,7 +31,7 @@
 	// metricsPort serves the measurements at /metrics.
 	metricsPort = 9464
 	// probesPerSecond is the rate of probes at one upstream, unless the platform allows less.
-	probesPerSecond = 20.0
+	probesPerSecond = 14.0
 	// crossCost and bulkCrossCost are what an upstream in another data centre costs, as a share of a response time.
 	crossCost     = 0.5
 	bulkCrossCost = 2.2
