watch: Read the operators' records once for all hosts

A read per host that waits cost a call per host and change, and one that the store forgot left its host behind. Both streams are now followed in the same way: the first host in the order of names reads, tells the others, and each of them reads for itself when its own knowledge gets too old.

--- a/lib/fleet/source.go
+++ b/lib/fleet/source.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"sardinecross.example/lib/route"
 )
@@ -44,8 +43,8 @@
 
 // Source is the platform's store and the meaning of its records.
 type Source interface {
-	// Read returns the records from a position on and the position after them; it waits up to wait for the first.
-	Read(ctx context.Context, stream Stream, from int64, wait time.Duration) ([]Record, int64, error)
+	// Read returns the records from a position on and the position after them, or a GapError.
+	Read(ctx context.Context, stream Stream, from int64) ([]Record, int64, error)
 	// Newest returns the newest record of each key and the position up to which they are complete.
 	Newest(ctx context.Context, stream Stream) ([]Record, int64, error)
 	// Write appends a record.
--- a/sardinegate/gate.go
+++ b/sardinegate/gate.go
@@ -114,10 +114,12 @@
 }
 
 func (g *gate) status() mesh.Beat {
+	operators, list := g.watcher.Positions()
 	return mesh.Beat{
 		Leaving:   g.leaving.Load(),
 		Ready:     g.Ready(),
-		Operators: g.watcher.Position(),
+		Operators: operators,
+		List:      list,
 		Cold:      g.broker.Cold(),
 	}
 }
@@ -127,7 +129,8 @@
 	return stats.New(
 		stats.Gauge{Name: "store_calls_total", Read: count(&g.watcher.Calls)},
 		stats.Gauge{Name: "store_calls_failed_total", Read: count(&g.watcher.Failed)},
-		stats.Gauge{Name: "upstream_list_age_seconds", Read: func() float64 { return g.watcher.Age().Seconds() }},
+		stats.Gauge{Name: "upstream_list_age_seconds", Read: func() float64 { _, age := g.watcher.Ages(); return age.Seconds() }},
+		stats.Gauge{Name: "configuration_age_seconds", Read: func() float64 { age, _ := g.watcher.Ages(); return age.Seconds() }},
 		stats.Gauge{Name: "configuration_version", Read: func() float64 {
 			if t := g.watcher.View().Routes; t != nil {
 				return float64(t.Version)
--- a/sardinegate/mesh/mesh.go
+++ b/sardinegate/mesh/mesh.go
@@ -36,7 +36,7 @@
 type Member struct {
 	Host, DataCentre, Callers string
 	Leaving, Ready            bool
-	Operators                 int64
+	Operators, List           int64
 	boot                      int64
 	addr                      netip.AddrPort
 	heard                     time.Duration
@@ -160,9 +160,13 @@
 	}
 	m.From, m.Boot = n.self.Host, n.self.Boot
 	data, err := encoder.Marshal(m)
-	if err != nil || len(data) > maxDatagram {
+	if err != nil {
 		n.Invalid.Add(1)
-		n.log.Error("message not sent", "bytes", len(data), "error", err)
+		n.log.Error("message not encoded", "error", err)
+		return
+	}
+	if len(data) > maxDatagram {
+		n.log.Info("message too long for a datagram", "bytes", len(data))
 		return
 	}
 	for _, addr := range to {
@@ -243,7 +247,8 @@
 	member.boot, member.addr, member.heard = m.Boot, from, n.now()
 	if b := m.Beat; b != nil {
 		member.DataCentre, member.Callers = b.DataCentre, b.Callers
-		member.Leaving, member.Ready, member.Operators = b.Leaving, b.Ready, b.Operators
+		member.Leaving, member.Ready = b.Leaving, b.Ready
+		member.Operators, member.List = b.Operators, b.List
 	}
 	delete(n.strangers, from)
 	n.mu.Unlock()
--- a/sardinegate/mesh/message.go
+++ b/sardinegate/mesh/message.go
@@ -26,6 +26,7 @@
 	Verdict *Verdict     `cbor:"5,keyasint,omitempty"`
 	Done    *grant.Done  `cbor:"6,keyasint,omitempty"`
 	List    *ListChanges `cbor:"7,keyasint,omitempty"`
+	Orders  *Orders      `cbor:"8,keyasint,omitempty"`
 }
 
 // Beat is a host's regular sign of life.
@@ -35,8 +36,9 @@
 	Callers string `cbor:"2,keyasint"`
 	Leaving bool   `cbor:"3,keyasint,omitempty"`
 	Ready   bool   `cbor:"4,keyasint,omitempty"`
-	// Operators is the position up to which the sender knows the operators' records.
+	// Operators and List are the positions up to which the sender knows the operators' records and the list of upstreams.
 	Operators int64 `cbor:"5,keyasint,omitempty"`
+	List      int64 `cbor:"7,keyasint,omitempty"`
 	// Cold are upstreams that the sender found cold, with the time that is left.
 	Cold map[string]time.Duration `cbor:"6,keyasint,omitempty"`
 }
@@ -47,11 +49,22 @@
 	Verdict grant.Verdict `cbor:"2,keyasint"`
 }
 
-// ListChanges are the changes of the list of upstreams between two positions.
-type ListChanges struct {
+// Span is a part of a stream of the store that a host has read.
+type Span struct {
 	From int64 `cbor:"1,keyasint"`
 	To   int64 `cbor:"2,keyasint"`
 	// Age is the time since the read that confirmed To was sent.
-	Age     time.Duration  `cbor:"3,keyasint"`
-	Changes []fleet.Change `cbor:"4,keyasint,omitempty"`
+	Age time.Duration `cbor:"3,keyasint"`
+}
+
+// ListChanges are the changes of the list of upstreams within a span.
+type ListChanges struct {
+	Span    Span           `cbor:"1,keyasint"`
+	Changes []fleet.Change `cbor:"2,keyasint,omitempty"`
+}
+
+// Orders are the operators' records within a span.
+type Orders struct {
+	Span    Span           `cbor:"1,keyasint"`
+	Records []fleet.Record `cbor:"2,keyasint,omitempty"`
 }
--- a/sardinegate/watch/errors.go
+++ b/sardinegate/watch/errors.go
@@ -1,11 +1,6 @@
 package watch
 
-import (
-	"errors"
-	"fmt"
-
-	"sardinecross.example/lib/fleet"
-)
+import "fmt"
 
 // StaleError reports a reading that ends before what is known already.
 type StaleError struct{ Have, Got int64 }
@@ -14,8 +9,3 @@
 func (e *StaleError) Error() string {
 	return fmt.Sprintf("reading ends at %d, before the known position %d", e.Got, e.Have)
 }
-
-func isGap(err error) bool {
-	var gap *fleet.GapError
-	return errors.As(err, &gap)
-}
--- a/sardinegate/watch/list.go
+++ b/sardinegate/watch/list.go
@@ -1,73 +1,30 @@
 package watch
 
 import (
-	"context"
-	"net/netip"
 	"time"
 
-	"sardinecross.example/lib/common/pause"
 	"sardinecross.example/lib/fleet"
 	"sardinecross.example/sardinegate/mesh"
 )
 
-// rank is this host's place among the hosts that are alive.
-func (w *Watcher) rank() int {
-	rank := 0
-	for _, m := range w.deps.Node.Alive() {
-		if m.Host < w.deps.Host {
-			rank++
-		}
-	}
-	return rank
-}
-
-// watchList reads the list of upstreams whenever no other host has told a newer one in time.
-func (w *Watcher) watchList(ctx context.Context) {
-	failures := 0
-	for known := false; ctx.Err() == nil; {
-		w.expire()
-		if known && w.Age() < listEvery+time.Duration(w.rank())*listStep {
-			if !pause.For(ctx, listTick) {
-				return
+// upstreamStream follows the list of upstreams.
+func (w *Watcher) upstreamStream() stream {
+	return stream{
+		name:     "upstreams",
+		of:       fleet.Upstreams,
+		position: func() int64 { _, p := w.Positions(); return p },
+		age:      func() time.Duration { _, age := w.Ages(); return age },
+		replace:  w.replaceList,
+		apply: func(asOf time.Duration, from, to int64, records []fleet.Record) {
+			changes := w.changes(records)
+			if w.applyList(asOf, from, to, changes) {
+				w.deps.Node.Broadcast(&mesh.Message{List: &mesh.ListChanges{Span: mesh.Span{From: from, To: to, Age: w.now() - asOf}, Changes: changes}})
 			}
-			continue
-		}
-		var err error
-		if known {
-			known, err = w.readList(ctx)
-		} else {
-			err = w.newestList(ctx)
-			known = err == nil
-		}
-		if err == nil {
-			failures = 0
-			continue
-		}
-		if !known {
-			known = w.copyList(ctx)
-		}
-		if !pause.For(ctx, backoff(failures)) {
-			return
-		}
-		failures++
+		},
+		tick: w.expire,
 	}
 }
 
-// copyList takes over the list from another host and reports whether there is one now.
-func (w *Watcher) copyList(ctx context.Context) bool {
-	for _, m := range w.deps.Node.Alive() {
-		if !m.Ready {
-			continue
-		}
-		if err := w.copyFrom(ctx, m); err != nil {
-			w.deps.Log.Warn("knowledge not copied", "host", m.Host, "error", err)
-			continue
-		}
-		return w.View().Listed
-	}
-	return false
-}
-
 func (w *Watcher) expire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -80,16 +37,8 @@
 // publishList makes the list part of the view. The mutex is held.
 func (w *Watcher) publishList() { w.publish(w.view.Load().WithUpstreams(w.list.Entries())) }
 
-// afterOutage reports whether removals may only reflect an outage of the store. The mutex is held.
-func (w *Watcher) afterOutage() bool { return w.now()-w.failed < outageMemory }
-
-func (w *Watcher) newestList(ctx context.Context) error {
-	asOf := w.now()
-	records, end, err := w.deps.Source.Newest(ctx, fleet.Upstreams)
-	w.called(ctx, "newest upstreams", err)
-	if err != nil {
-		return err
-	}
+// replaceList takes over the newest entries. The mutex is held.
+func (w *Watcher) replaceList(asOf time.Duration, to int64, records []fleet.Record) {
 	var entries []fleet.Upstream
 	for _, r := range records {
 		u, err := w.deps.Source.Upstream(r)
@@ -99,39 +48,9 @@
 		}
 		entries = append(entries, u)
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if end < w.list.Offset {
-		return &StaleError{Have: w.list.Offset, Got: end}
-	}
-	w.list.Replace(w.now(), asOf, end, entries, w.afterOutage())
+	w.list.Replace(w.now(), asOf, to, entries, w.afterOutage())
+	w.deps.Log.Info("list of upstreams read", "upstreams", len(entries), "offset", to)
 	w.publishList()
-	return nil
-}
-
-func (w *Watcher) readList(ctx context.Context) (known bool, err error) {
-	w.mu.Lock()
-	from := w.list.Offset
-	w.mu.Unlock()
-	asOf := w.now()
-	records, next, err := w.deps.Source.Read(ctx, fleet.Upstreams, from, 0)
-	if isGap(err) {
-		w.called(ctx, "upstreams", nil)
-		w.deps.Log.Info("records of upstreams were deleted", "from", from)
-		return false, nil
-	}
-	w.called(ctx, "upstreams", err)
-	if err != nil {
-		return true, err
-	}
-	w.mu.Lock()
-	changes := w.changes(records)
-	applied := w.apply(asOf, from, next, changes)
-	w.mu.Unlock()
-	if applied {
-		w.deps.Node.Broadcast(&mesh.Message{List: &mesh.ListChanges{From: from, To: next, Age: w.now() - asOf, Changes: changes}})
-	}
-	return true, nil
 }
 
 // changes reduces records to the last difference of each upstream. The mutex is held.
@@ -171,8 +90,8 @@
 	return changes
 }
 
-// apply takes over changes and reports whether the list reached their start. The mutex is held.
-func (w *Watcher) apply(asOf time.Duration, from, to int64, changes []fleet.Change) bool {
+// applyList takes over the changes of a span and reports whether the known position lies in it. The mutex is held.
+func (w *Watcher) applyList(asOf time.Duration, from, to int64, changes []fleet.Change) bool {
 	if !w.list.Apply(w.now(), asOf, from, to, changes) {
 		return false
 	}
@@ -194,49 +113,3 @@
 	w.deps.Log.Info("upstream listed", "upstream", u.ID, "service", u.Service, "address", u.Address,
 		"leaving", u.State == fleet.Leaving, "started", u.Started, "offset", w.list.Offset)
 }
-
-// Handle takes the messages that concern the list.
-func (w *Watcher) Handle(m *mesh.Message) {
-	if m.List == nil {
-		return
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.view.Load().Listed {
-		w.apply(w.now()-m.List.Age, m.List.From, m.List.To, m.List.Changes)
-	}
-}
-
-// announce makes this host and the others known to each other.
-func (w *Watcher) announce(ctx context.Context) {
-	failures := 0
-	for ctx.Err() == nil {
-		err := w.deps.Source.Write(ctx, fleet.Hosts, fleet.Record{Key: w.deps.Host, Value: []byte(w.deps.IP.String())})
-		w.called(ctx, "announce host", err)
-		var records []fleet.Record
-		if err == nil {
-			records, _, err = w.deps.Source.Newest(ctx, fleet.Hosts)
-			w.called(ctx, "hosts", err)
-		}
-		if err == nil {
-			w.introduce(records)
-			return
-		}
-		if !pause.For(ctx, backoff(failures)) {
-			return
-		}
-		failures++
-	}
-}
-
-func (w *Watcher) introduce(records []fleet.Record) {
-	for _, r := range records {
-		ip, err := netip.ParseAddr(string(r.Value))
-		if err != nil {
-			w.deps.Log.Warn("host entry not used", "host", r.Key, "error", err)
-			continue
-		}
-		w.deps.Node.Introduce(ip)
-	}
-	w.deps.Node.Beat()
-}
--- a/sardinegate/watch/peers.go
+++ b/sardinegate/watch/peers.go
@@ -6,17 +6,11 @@
 	"time"
 
 	"sardinecross.example/lib/common/codec"
-	"sardinecross.example/lib/common/httpc"
-	"sardinecross.example/lib/common/pause"
 	"sardinecross.example/lib/fleet"
 	"sardinecross.example/sardinegate/mesh"
 )
 
 const (
-	// behindTick is the time between comparisons with the positions of other hosts.
-	behindTick = 100 * time.Millisecond
-	// behindFor is how long a host may be behind another before it reads again: a record reaches them at about one time.
-	behindFor = 150 * time.Millisecond
 	// copyTimeout bounds the transfer of what another host knows, maxCopy its size in bytes.
 	copyTimeout = time.Second
 	maxCopy     = 8 << 20
@@ -31,8 +25,9 @@
 	List      int64            `cbor:"3,keyasint"`
 	Upstreams []fleet.Upstream `cbor:"4,keyasint,omitempty"`
 	// Age is the time since the read that confirmed List was sent.
-	Age    time.Duration `cbor:"5,keyasint"`
-	Listed bool          `cbor:"6,keyasint,omitempty"`
+	Age          time.Duration `cbor:"5,keyasint"`
+	Listed       bool          `cbor:"6,keyasint,omitempty"`
+	OperatorsAge time.Duration `cbor:"7,keyasint"`
 }
 
 var (
@@ -48,11 +43,12 @@
 	}
 	w.mu.Lock()
 	k := knowledge{
-		Operators: w.operators.Load(),
-		List:      w.list.Offset,
-		Upstreams: w.list.Entries(),
-		Age:       w.now() - w.list.AsOf,
-		Listed:    w.view.Load().Listed,
+		Operators:    w.operators,
+		List:         w.list.Offset,
+		Upstreams:    w.list.Entries(),
+		Age:          w.now() - w.list.AsOf,
+		Listed:       w.view.Load().Listed,
+		OperatorsAge: w.now() - w.operatorsAsOf,
 	}
 	for _, record := range w.records {
 		k.Records = append(k.Records, record)
@@ -91,8 +87,8 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if k.Operators > w.operators.Load() {
-		w.replaceOperators(k.Records, k.Operators)
+	if k.Operators > w.operators {
+		w.replaceOperators(w.now()-k.OperatorsAge, k.Operators, k.Records)
 		w.deps.Log.Info("operators' records taken from a host", "host", m.Host, "position", k.Operators)
 	}
 	if k.Listed && (!w.view.Load().Listed || k.List > w.list.Offset) {
@@ -103,36 +99,17 @@
 	return nil
 }
 
-// ahead returns a host that is alive and knows more of the operators' records than this one, the most of all.
-func (w *Watcher) ahead() (mesh.Member, bool) {
-	var best mesh.Member
+// copy takes over what another host knows more than this one, and reports whether both streams are known then.
+func (w *Watcher) copy(ctx context.Context) bool {
 	for _, m := range w.deps.Node.Alive() {
-		if m.Operators > best.Operators {
-			best = m
-		}
-	}
-	return best, best.Operators > w.operators.Load()
-}
-
-// followPeers reads again where other hosts know more: a read that waits may have been forgotten by the store.
-func (w *Watcher) followPeers(ctx context.Context) {
-	behind := time.Duration(0)
-	for pause.For(ctx, behindTick) {
-		m, ok := w.ahead()
-		if !ok {
-			behind = 0
+		operators, list := w.Positions()
+		if m.Operators <= operators && m.List <= list {
 			continue
 		}
-		if behind += behindTick; behind < behindFor {
-			continue
-		}
-		behind = 0
-		w.deps.Log.Warn("behind another host", "host", m.Host, "its", m.Operators, "own", w.operators.Load())
 		if err := w.copyFrom(ctx, m); err != nil {
 			w.deps.Log.Warn("knowledge not copied", "host", m.Host, "error", err)
 		}
 	}
+	v := w.View()
+	return v.Routes != nil && v.Listed
 }
-
-// newPeers returns the client for other hosts.
-func newPeers() *httpc.Client { return httpc.New(1) }
