--- a/sardinegate/watch/follow.go
+++ b/sardinegate/watch/follow.go
@@ -17,6 +17,8 @@
 	readStep  = 45 * time.Millisecond
 	// ageTick is the time between checks of the age.
 	ageTick = 40 * time.Millisecond
+	// joinTick is the time between attempts to copy what other hosts know at the start.
+	joinTick = 100 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 60 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
@@ -32,6 +34,8 @@
 	// replace takes over the newest records of all keys, apply those of a span, both read at asOf. The mutex is held.
 	replace func(asOf time.Duration, to int64, records []fleet.Record)
 	apply   func(asOf time.Duration, from, to int64, records []fleet.Record)
+	// has reports whether the view holds what the stream tells.
+	has func() bool
 	// tick is called at each check.
 	tick func()
 }
@@ -41,6 +45,7 @@
 	known, failures := false, 0
 	for ctx.Err() == nil {
 		s.tick()
+		known = known || s.has()
 		if known && s.age() < readEvery+time.Duration(w.rank())*readStep {
 			pause.For(ctx, ageTick)
 			continue
@@ -59,13 +64,25 @@
 			w.deps.Log.Info("records were deleted", "stream", s.name, "from", gap.From)
 			known = false
 		default:
-			known = w.copy(ctx) || known
+			w.copy(ctx)
 			pause.For(ctx, min(retryFirst<<min(failures, 4), retryMost))
 			failures++
 		}
 	}
 }
 
+// join copies what other hosts know until the view is complete: the store may be away when this host starts.
+func (w *Watcher) join(ctx context.Context) {
+	for !w.complete() && pause.For(ctx, joinTick) {
+		w.copy(ctx)
+	}
+}
+
+func (w *Watcher) complete() bool {
+	v := w.View()
+	return v.Routes != nil && v.Listed
+}
+
 // rank is this host's place among the hosts that are alive.
 func (w *Watcher) rank() int {
 	rank := 0
--- a/sardinegate/watch/list.go
+++ b/sardinegate/watch/list.go
@@ -21,6 +21,7 @@
 				w.deps.Node.Broadcast(&mesh.Message{List: &mesh.ListChanges{Span: mesh.Span{From: from, To: to, Age: w.now() - asOf}, Changes: changes}})
 			}
 		},
+		has:  func() bool { return w.View().Listed },
 		tick: w.expire,
 	}
 }
--- a/sardinegate/watch/operators.go
+++ b/sardinegate/watch/operators.go
@@ -20,6 +20,7 @@
 				w.deps.Node.Broadcast(&mesh.Message{Orders: &mesh.Orders{Span: mesh.Span{From: from, To: to, Age: w.now() - asOf}, Records: records}})
 			}
 		},
+		has:  func() bool { return w.View().Routes != nil },
 		tick: func() {},
 	}
 }
--- a/sardinegate/watch/peers.go
+++ b/sardinegate/watch/peers.go
@@ -99,8 +99,8 @@
 	return nil
 }
 
-// copy takes over what another host knows more than this one, and reports whether both streams are known then.
-func (w *Watcher) copy(ctx context.Context) bool {
+// copy takes over what other hosts know more than this one.
+func (w *Watcher) copy(ctx context.Context) {
 	for _, m := range w.deps.Node.Alive() {
 		operators, list := w.Positions()
 		if m.Operators <= operators && m.List <= list {
@@ -110,6 +110,4 @@
 			w.deps.Log.Warn("knowledge not copied", "host", m.Host, "error", err)
 		}
 	}
-	v := w.View()
-	return v.Routes != nil && v.Listed
 }
--- a/sardinegate/watch/watch.go
+++ b/sardinegate/watch/watch.go
@@ -71,6 +71,7 @@
 	w.done.Go(func() { w.follow(ctx, w.operatorStream()) })
 	w.done.Go(func() { w.follow(ctx, w.upstreamStream()) })
 	w.done.Go(func() { w.announce(ctx) })
+	w.done.Go(func() { w.join(ctx) })
 }
 
 // Close stops the watcher and waits.
