--- a/sardinegate/watch/follow.go
+++ b/sardinegate/watch/follow.go
@@ -42,10 +42,12 @@
 
 // follow reads a stream whenever no other host has told a newer part of it in time.
 func (w *Watcher) follow(ctx context.Context, s stream) {
-	known, failures := false, 0
+	// read is set while the position comes from a reading of the store. One copied from another host is as good, unless
+	// the records from lost on were deleted.
+	read, lost, failures := false, int64(-1), 0
 	for ctx.Err() == nil {
 		s.tick()
-		known = known || s.has()
+		known := read || s.has() && s.position() > lost
 		if known && s.age() < readEvery+time.Duration(w.rank())*readStep {
 			pause.For(ctx, ageTick)
 			continue
@@ -59,10 +61,10 @@
 		var gap *fleet.GapError
 		switch {
 		case err == nil:
-			known, failures = true, 0
+			read, lost, failures = true, -1, 0
 		case errors.As(err, &gap):
 			w.deps.Log.Info("records were deleted", "stream", s.name, "from", gap.From)
-			known = false
+			read, lost = false, gap.From
 		default:
 			w.copy(ctx)
 			pause.For(ctx, min(retryFirst<<min(failures, 4), retryMost))
