--- a/lib/grant/grant_test.go
+++ b/lib/grant/grant_test.go
@@ -247,3 +247,27 @@
 		t.Fatalf("%d requests of the former lifetime counted", n)
 	}
 }
+
+// Guards against second attempts that are not offered when the machine of the first one slows down, or offered twice.
+func TestOffer(t *testing.T) {
+	s := newState(t, upstreamIn("a", passau), upstreamIn("b", passau))
+	s.Heard(0, "a", fleet.Report{Slots: 4, Factor: 100}, true, false)
+	s.Heard(0, "b", fleet.Report{Slots: 4, Factor: 110}, true, false)
+	a := ask()
+	a.More = 1
+	assertGranted(t, s.Decide(0, 0, a), "a")
+	if got := s.Offer(time.Millisecond, 0); len(got) != 0 {
+		t.Fatalf("offered %+v without need", got)
+	}
+	s.Heard(time.Millisecond, "a", fleet.Report{Slots: 4, Factor: 900}, true, false)
+	got := s.Offer(time.Millisecond, 0)
+	if len(got) != 1 || got[0].Upstream != "b" {
+		t.Fatalf("offered %+v", got)
+	}
+	if first, ok := got[0].ID.First(); !ok || first != a.ID {
+		t.Fatalf("offered for %+v", first)
+	}
+	if again := s.Offer(2*time.Millisecond, 0); len(again) != 0 {
+		t.Fatalf("offered again: %+v", again)
+	}
+}
