gate: Limit connections to an upstream, reload settings

The bounds of the operators take effect with SIGHUP or when the file changes; what needs a restart is logged. Each host takes its share of the connections that an upstream accepts.

--- a/lib/grant/budget.go
+++ b/lib/grant/budget.go
@@ -38,10 +38,3 @@
 	b.slices[b.slice%budgetSlices].repeats++
 	return true
 }
-
-// unrepeat takes back a repeat that was not sent.
-func (b *budget) unrepeat() {
-	if s := &b.slices[b.slice%budgetSlices]; s.repeats > 0 {
-		s.repeats--
-	}
-}
--- a/lib/grant/state.go
+++ b/lib/grant/state.go
@@ -166,6 +166,11 @@
 // SetHosts sets the number of hosts that share what is decided without the owner.
 func (s *State) SetHosts(n int) { s.cfg.Hosts = max(n, 1) }
 
+// SetRepeats sets the bound of the repeated attempts of all hosts.
+func (s *State) SetRepeats(ratio, slack float64, window time.Duration) {
+	s.cfg.RepeatRatio, s.cfg.RepeatSlack, s.cfg.RepeatWindow = ratio, slack, window
+}
+
 // Update takes over the listed upstreams; what is known of those that stay is kept.
 func (s *State) Update(now time.Duration, v *fleet.View) {
 	s.out = v.Out
--- a/proofs/gate_test.go
+++ b/proofs/gate_test.go
@@ -418,3 +418,30 @@
 		t.Errorf("host answers %d on a new route", a.status)
 	}
 }
+
+// Guards against settings that change unseen, with a signal or without, and against an end by unreadable ones.
+func TestGateSettingsReload(t *testing.T) {
+	s := newGateSite(t, 1)
+	h := s.gates[0]
+	path := s.path(h.id + ".conf")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	logged := func(words string) func() bool {
+		return func() bool {
+			out, _ := os.ReadFile(h.out.Name())
+			return strings.Contains(string(out), words)
+		}
+	}
+	if err := os.WriteFile(path, []byte("node="), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.wait("the refusal of the settings", logged("settings not reloaded"))
+	if err := os.WriteFile(path, bytes.Replace(text, []byte("grace-s=6"), []byte("grace-s=3"), 1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	h.signal(syscall.SIGHUP)
+	s.wait("the reload", logged(`"settings reloaded"`))
+	s.waitReady()
+}
--- a/sardinegate/broker/broker.go
+++ b/sardinegate/broker/broker.go
@@ -122,6 +122,13 @@
 	b.state.Update(b.now(), v)
 }
 
+// SetRepeats changes the bound of the repeated attempts.
+func (b *Broker) SetRepeats(ratio, slack float64, window time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state.SetRepeats(ratio, slack, window)
+}
+
 // owner returns the host to ask for a service. The mutex is held.
 func (b *Broker) owner(now time.Duration, service string) string {
 	o := b.orders[service]
--- a/sardinegate/gate.go
+++ b/sardinegate/gate.go
@@ -39,6 +39,10 @@
 	addressLifetime = 2 * time.Second
 	// fewLocal is the number of hosts in a data centre below which its callers also get hosts elsewhere.
 	fewLocal = 2
+	// minConnections is the least number of connections that a host may have to one upstream.
+	minConnections = 4
+	// settingsTick is the time between checks whether the settings file was changed without a signal.
+	settingsTick = time.Second
 	// lastWork is the part of the grace that is left for requests in flight after the listeners closed.
 	lastWork = 2 * time.Second
 	// exitMargin is the part of the grace that is left for the end of the process.
@@ -63,6 +67,10 @@
 	callers  *front.Server
 	others   []*http.Server
 	done     sync.WaitGroup
+	modified time.Time // of the settings file when it was read
+
+	// mu guards the settings that a reload changes: Grace and MaxAddressLifetime.
+	mu sync.Mutex
 }
 
 var _ platform.Addresses = (*gate)(nil)
@@ -79,6 +87,9 @@
 	}
 	g := &gate{settings: s, path: path, lines: lines.New(out), store: platform.NewStore(s.Store), pool: pool.New()}
 	g.log = lines.Logger(g.lines, level)
+	if info, err := os.Stat(path); err == nil {
+		g.modified = info.ModTime()
+	}
 	boot := time.Now().UnixNano()
 	g.log.Info("start", "host", s.Host, "dataCentre", s.DataCentre, "boot", boot)
 	g.node, err = mesh.Listen(mesh.Self{
@@ -90,7 +101,7 @@
 	}
 	g.watcher = watch.New(watch.Deps{
 		Host: s.Host, IP: ip, Source: g.store, Node: g.node, Log: g.log,
-		Changed: func(v *fleet.View) { g.broker.Update(v) },
+		Changed: g.changed,
 	})
 	g.broker = broker.New(broker.Deps{
 		Host: s.Host, Node: g.node, Pool: g.pool, Dialect: platform.Dialect{}, Log: g.log,
@@ -113,6 +124,23 @@
 	return g, g.listen(g.newStats())
 }
 
+// changed takes over a new view.
+func (g *gate) changed(v *fleet.View) {
+	g.broker.Update(v)
+	if v.Routes == nil {
+		return
+	}
+	least := 0
+	for _, s := range v.Routes.Services {
+		if s.MaxConnections > 0 && (least == 0 || s.MaxConnections < least) {
+			least = s.MaxConnections
+		}
+	}
+	if least > 0 {
+		g.pool.SetLimit(max(least/(len(g.node.Alive())+1), minConnections))
+	}
+}
+
 func (g *gate) status() mesh.Beat {
 	operators, list := g.watcher.Positions()
 	return mesh.Beat{
@@ -214,7 +242,8 @@
 			add(m.DataCentre, m.Callers)
 		}
 	}
-	valid := min(addressLifetime, g.settings.MaxAddressLifetime)
+	_, longest := g.bounds()
+	valid := min(addressLifetime, longest)
 	if len(local) >= fewLocal {
 		return local, valid
 	}
@@ -223,33 +252,59 @@
 
 // serve runs until a signal ends the process.
 func (g *gate) serve(signals <-chan os.Signal) {
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			g.log.Info("stop", "signal", sig.String())
-			break
+	t := time.NewTicker(settingsTick)
+	defer t.Stop()
+	for {
+		select {
+		case sig := <-signals:
+			if sig != syscall.SIGHUP {
+				g.log.Info("stop", "signal", sig.String())
+				g.shutdown(signals)
+				return
+			}
+			g.reload("signal")
+		case <-t.C:
+			if info, err := os.Stat(g.path); err == nil && info.ModTime() != g.modified {
+				g.reload("file changed")
+			}
 		}
-		g.reload()
 	}
-	g.shutdown(signals)
 }
 
-// reload reads the settings again. All of them take effect at the next start.
-func (g *gate) reload() {
+// reload reads the settings again. The bounds of the operators take effect at once, addresses at the next start.
+func (g *gate) reload(cause string) {
+	if info, err := os.Stat(g.path); err == nil {
+		g.modified = info.ModTime()
+	}
 	s, err := platform.LoadSettings(g.path)
 	if err != nil {
-		g.log.Error("settings not reloaded", "error", err)
+		g.log.Error("settings not reloaded", "cause", cause, "error", err)
 		return
 	}
-	g.log.Info("settings read again; changes take effect at the next start", "host", s.Host)
+	restart := s.Callers != g.settings.Callers || s.Ready != g.settings.Ready || s.Directory != g.settings.Directory ||
+		s.Internal != g.settings.Internal || s.Store != g.settings.Store || s.Host != g.settings.Host || s.DataCentre != g.settings.DataCentre
+	g.mu.Lock()
+	g.settings.Grace, g.settings.MaxAddressLifetime = s.Grace, s.MaxAddressLifetime
+	g.mu.Unlock()
+	g.broker.SetRepeats(s.RepeatRatio, s.RepeatSlack, s.RepeatWindow)
+	g.log.Info("settings reloaded", "cause", cause, "needsRestart", restart)
+}
+
+// bounds returns the grace and the longest lifetime of addresses.
+func (g *gate) bounds() (grace, addresses time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.settings.Grace, g.settings.MaxAddressLifetime
 }
 
 // shutdown takes the host out of the directory, serves what still arrives, and ends within the grace.
 func (g *gate) shutdown(signals <-chan os.Signal) {
+	grace, _ := g.bounds()
 	g.leaving.Store(true)
 	g.callers.Leave()
 	g.node.Beat()
 	select {
-	case <-time.After(g.settings.Grace - lastWork):
+	case <-time.After(grace - lastWork):
 	case <-signals:
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), lastWork-exitMargin)
--- a/sardinegate/lines/lines.go
+++ b/sardinegate/lines/lines.go
@@ -113,7 +113,7 @@
 var _ slog.Handler = (*handler)(nil)
 
 // Logger returns a logger that writes lines of JSON to w.
-func Logger(w *Writer, level slog.Leveler) *slog.Logger {
+func Logger(w *Writer, level slog.Level) *slog.Logger {
 	return slog.New(&handler{slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}), w})
 }
 
--- a/sardinegate/pool/conn.go
+++ b/sardinegate/pool/conn.go
@@ -108,7 +108,7 @@
 		}
 		var resp *http.Response
 		if err == nil {
-			resp, err = http.ReadResponse(c.br, req)
+			resp, err = http.ReadResponse(c.br, req) //nolint:bodyclose // the body ends with the connection
 		}
 		c.replies <- reply{resp, err}
 		if err != nil {
--- a/sardinegate/pool/pool.go
+++ b/sardinegate/pool/pool.go
@@ -17,7 +17,7 @@
 const (
 	// dialTimeout bounds the time to establish a connection.
 	dialTimeout = 400 * time.Millisecond
-	// userTimeout ends a connection whose peer does not acknowledge.
+	// probeIdle, probeEvery and probeCount detect a connection that went silent.
 	probeIdle, probeEvery, probeCount = 2 * time.Second, time.Second, 2
 	// sweepEvery is the time between searches for expired idle connections.
 	sweepEvery = time.Second
@@ -230,7 +230,7 @@
 		}
 	}
 	written := c.write(r.head(), body)
-	resp, err := c.next(ctx.Done(), r.Accept)
+	resp, err := c.next(ctx.Done(), r.Accept) //nolint:bodyclose // the body ends with the connection
 	if err != nil {
 		return nil, err
 	}
--- a/standin/users/users.go
+++ b/standin/users/users.go
@@ -87,7 +87,7 @@
 	defer s.mu.Unlock()
 	for _, u := range s.upstreams {
 		u.http.Close()
-		u.Server.Close()
+		u.Close()
 	}
 }
 
@@ -106,7 +106,7 @@
 	})}
 	var err error
 	if u.http, err = serve.Listen(addr, u, nil); err != nil {
-		u.Server.Close()
+		u.Close()
 		return err
 	}
 	s.mu.Lock()
