grant, entry: Leave out dead upstreams while others answer

The log line of a request now holds the inputs of attempts that were still open and the host that refused.

--- a/lib/grant/grant_test.go
+++ b/lib/grant/grant_test.go
@@ -271,3 +271,19 @@
 		t.Fatalf("offered again: %+v", again)
 	}
 }
+
+// Guards against orders sent to an upstream that has not answered for long because the others are full: they would be
+// lost instead of refused.
+func TestDeadUpstreamGetsNothingWhileOthersAnswer(t *testing.T) {
+	s := newState(t, upstreamIn("a", passau), upstreamIn("b", passau))
+	s.Probed(0, "a")
+	now := deadAfter + time.Millisecond
+	for range 20 {
+		if v := s.Decide(now, 0, ask()); v.Upstream == "a" {
+			t.Fatal("a dead upstream was granted")
+		}
+	}
+	s = newState(t, upstreamIn("a", passau))
+	s.Probed(0, "a")
+	assertGranted(t, s.Decide(now, 0, ask()), "a")
+}
--- a/lib/grant/pick.go
+++ b/lib/grant/pick.go
@@ -140,9 +140,10 @@
 	}
 	bestCost, room := 0.0, 0
 	n := len(svc.upstreams)
+	allDead := !slices.ContainsFunc(svc.upstreams, func(u *upstream) bool { return s.working(u) && !u.dead(now) })
 	for i := range n {
 		u := svc.upstreams[(i+int(rnd*float64(n)))%n]
-		if !s.usable(now, svc, u, a) {
+		if !s.usable(now, svc, u, a) || u.dead(now) && !allDead {
 			continue
 		}
 		inflight := u.inflight(now)
@@ -166,14 +167,14 @@
 	return best, eta, full
 }
 
+// working reports whether an upstream takes work at all.
+func (s *State) working(u *upstream) bool {
+	_, out := s.out[u.DataCentre]
+	return u.State == fleet.Ready && !out
+}
+
 func (s *State) usable(now time.Duration, svc *service, u *upstream, a *Ask) bool {
-	if u.State != fleet.Ready {
-		return false
-	}
-	if _, out := s.out[u.DataCentre]; out {
-		return false
-	}
-	if slices.Contains(a.Tried, u.ID) {
+	if !s.working(u) || slices.Contains(a.Tried, u.ID) {
 		return false
 	}
 	if u.isCold(now) {
@@ -211,6 +212,10 @@
 	return u.waiting >= 0 && now-u.waiting > silentAfter
 }
 
+func (u *upstream) dead(now time.Duration) bool {
+	return u.waiting >= 0 && now-u.waiting > deadAfter
+}
+
 // worthwhile reports whether a second attempt probably ends enough earlier than the first.
 func (s *State) worthwhile(now time.Duration, svc *service, a *Ask, eta time.Duration) bool {
 	if len(a.Tried) == 0 {
--- a/lib/grant/settings.go
+++ b/lib/grant/settings.go
@@ -43,6 +43,8 @@
 	reportFresh = 150 * time.Millisecond
 	// silentAfter is the time without an answer to a probe after which an upstream counts as silent.
 	silentAfter = 200 * time.Millisecond
+	// deadAfter is the time without an answer to a probe after which an upstream gets no work while another one answers.
+	deadAfter = 700 * time.Millisecond
 	// silentSlowdown is how much longer work is assumed to take at a silent upstream.
 	silentSlowdown = 12.0
 	// illSlowdown applies to an upstream whose health response is not 200.
--- a/sardinegate/entry/entry.go
+++ b/sardinegate/entry/entry.go
@@ -181,6 +181,8 @@
 	status     int
 	reason     string
 	retryAfter time.Duration
+	// by is the host that decided on a refusal.
+	by string
 }
 
 func refuse(status int, reason string, retryAfter time.Duration) *outcome {
@@ -189,27 +191,28 @@
 
 // end writes the answer and the log line of a request.
 func (h *Handler) end(w http.ResponseWriter, c *call, o *outcome) {
-	status, word := o.status, o.reason
 	switch {
 	case o.resp != nil:
-		status, word = o.resp.Status, "answered"
-		defer h.note(c, status, word)
+		o.status, o.reason = o.resp.Status, "answered"
+		defer h.note(c, o)
 		h.deliver(w, o.resp)
 		return
-	case status == 0:
-		h.note(c, status, word)
+	case o.status == 0:
+		h.note(c, o)
 		panic(http.ErrAbortHandler) // nobody is there to answer
 	}
 	if o.retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(max(o.retryAfter, saneRetry).Seconds(), 'f', 3, 64))
 	}
 	w.Header().Set("Content-Type", "text/plain")
-	w.WriteHeader(status)
+	w.WriteHeader(o.status)
 	_, _ = io.WriteString(w, o.reason+"\n") // the caller has gone
-	h.note(c, status, word)
+	h.note(c, o)
 }
 
-func (h *Handler) note(c *call, status int, word string) {
+// note counts and logs the end of a request.
+func (h *Handler) note(c *call, o *outcome) {
+	status := o.status
 	took := time.Since(c.arrived)
 	kind, name := "none", ""
 	var version int64
@@ -228,7 +231,8 @@
 		return
 	}
 	h.deps.Log.Log(context.Background(), level, "request", "id", c.id, "route", name, "kind", kind, "service", c.service,
-		"configuration", version, "status", status, "outcome", word, "tookMs", took.Milliseconds(), "attempts", describe(c.attempts))
+		"configuration", version, "status", status, "outcome", o.reason, "decidedBy", o.by, "retryAfterMs", o.retryAfter.Milliseconds(),
+		"tookMs", took.Milliseconds(), "attempts", describe(c.attempts))
 }
 
 // outcomeWord groups statuses for counters.
--- a/sardinegate/entry/run.go
+++ b/sardinegate/entry/run.go
@@ -65,13 +65,14 @@
 		if i > 0 {
 			b.WriteString("; ")
 		}
+		fmt.Fprintf(&b, "upstream=%s by=%s expectedMs=%d inflight=%d factor=%.0f ageMs=%d hedge=%t",
+			a.grant.Upstream, a.grant.By, a.grant.Expected.Milliseconds(), a.grant.Inflight, a.grant.Factor,
+			a.grant.Age.Milliseconds(), a.hedge)
 		if !a.done {
-			fmt.Fprintf(&b, "upstream=%s by=%s hedge=%t result=%s", a.grant.Upstream, a.grant.By, a.hedge, pending)
+			fmt.Fprintf(&b, " result=%s", pending)
 			continue
 		}
-		fmt.Fprintf(&b, "upstream=%s by=%s expectedMs=%d inflight=%d factor=%.0f ageMs=%d hedge=%t result=%s tookMs=%d",
-			a.grant.Upstream, a.grant.By, a.grant.Expected.Milliseconds(), a.grant.Inflight, a.grant.Factor,
-			a.grant.Age.Milliseconds(), a.hedge, a.result, a.took.Milliseconds())
+		fmt.Fprintf(&b, " result=%s tookMs=%d", a.result, a.took.Milliseconds())
 		if a.resp != nil {
 			fmt.Fprintf(&b, " status=%d", a.resp.Status)
 		}
@@ -179,7 +180,9 @@
 	}
 	g := h.deps.Grants.Ask(ctx, ask, c.seconds)
 	if g.Upstream == "" {
-		return refuse(http.StatusServiceUnavailable, g.Reason.String(), g.RetryAfter)
+		o := refuse(http.StatusServiceUnavailable, g.Reason.String(), g.RetryAfter)
+		o.by = g.By
+		return o
 	}
 	return h.send(ctx, c, ended, g, hedge)
 }
