--- a/lib/route/route.go
+++ b/lib/route/route.go
@@ -57,7 +57,7 @@
 	Parts []Part
 }
 
-// Pick returns the service for a request; r is uniform in [0,1).
+// Pick returns the service for a request; u is uniform in [0,1).
 func (r *Route) Pick(u float64) string {
 	total := 0.0
 	for _, p := range r.Parts {
--- a/sardinegate/entry/entry.go
+++ b/sardinegate/entry/entry.go
@@ -51,7 +51,6 @@
 
 // Deps are what a handler works with.
 type Deps struct {
-	Host       string
 	DataCentre string
 	Grants     Granter
 	Sender     Sender
--- a/sardinegate/gate.go
+++ b/sardinegate/gate.go
@@ -116,9 +116,12 @@
 		g.broker.Handle(m)
 	})
 	for _, seed := range s.Seeds {
-		if addr, err := netip.ParseAddrPort(seed); err == nil {
-			g.node.Introduce(addr.Addr())
+		addr, err := netip.ParseAddrPort(seed)
+		if err != nil {
+			g.log.Warn("seed not used", "seed", seed, "error", err)
+			continue
 		}
+		g.node.Introduce(addr.Addr())
 	}
 	g.watcher.Start()
 	return g, g.listen(g.newStats())
@@ -180,7 +183,7 @@
 func (g *gate) listen(set *stats.Set) error {
 	s := g.settings
 	g.callers = &front.Server{Log: g.log, Handler: entry.New(entry.Deps{
-		Host: s.Host, DataCentre: s.DataCentre, Grants: g.broker, Sender: g.pool, Dialect: platform.Dialect{},
+		DataCentre: s.DataCentre, Grants: g.broker, Sender: g.pool, Dialect: platform.Dialect{},
 		View: g.watcher.View, Record: set, Log: g.log,
 	})}
 	mux := http.NewServeMux()
--- a/sardinegate/mesh/mesh.go
+++ b/sardinegate/mesh/mesh.go
@@ -231,11 +231,12 @@
 func (n *Node) hear(m *Message, from netip.AddrPort) bool {
 	n.mu.Lock()
 	member := n.members[m.From]
-	if member != nil && m.Boot < member.boot {
+	// The time of day may have gone back before a restart, so a lower number counts once the former lifetime is silent.
+	if member != nil && m.Boot < member.boot && n.alive(member) {
 		n.mu.Unlock()
 		return false
 	}
-	fresh := member == nil || m.Boot > member.boot || !n.alive(member)
+	fresh := member == nil || m.Boot != member.boot || !n.alive(member)
 	if fresh && m.Beat == nil && member == nil {
 		n.mu.Unlock()
 		return false // its beat follows
--- a/sardinegate/mesh/mesh_test.go
+++ b/sardinegate/mesh/mesh_test.go
@@ -92,6 +92,8 @@
 	eventually(t, "the count of garbage", func() bool { return a.Invalid.Load() == 1 })
 	send(6)
 	eventually(t, "the next lifetime", func() bool { return got.Load() == 2 })
+	// A host whose clock was set back before it started again is heard once its former lifetime is silent.
+	eventually(t, "a lifetime with a lower number", func() bool { send(3); return got.Load() == 3 })
 }
 
 // Guards against crashes on bytes from the network.
