mesh, watch: Carry any number of cold upstreams; bound the spread of reads

The last host in the order waited 45 ms for each host before it, 13 s at 300 hosts; it now waits 0.8 s at most.

--- a/sardinegate/broker/broker.go
+++ b/sardinegate/broker/broker.go
@@ -246,8 +246,8 @@
 		b.release()
 	case m.Beat != nil:
 		b.mu.Lock()
-		for id, left := range m.Beat.Cold {
-			b.state.Cold(now, id, left)
+		for _, c := range m.Beat.Cold {
+			b.state.Cold(now, c.Upstream, c.Left)
 		}
 		b.mu.Unlock()
 	}
@@ -321,10 +321,14 @@
 	}
 }
 
-// Cold returns the upstreams of services owned by this host that are cold.
-func (b *Broker) Cold() map[string]time.Duration {
+// Cold returns the upstreams that this host knows to be cold.
+func (b *Broker) Cold() []mesh.Cold {
 	now := b.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.state.ColdUpstreams(now)
+	var cold []mesh.Cold
+	for id, left := range b.state.ColdUpstreams(now) {
+		cold = append(cold, mesh.Cold{Upstream: id, Left: left})
+	}
+	return cold
 }
--- a/sardinegate/mesh/message.go
+++ b/sardinegate/mesh/message.go
@@ -40,7 +40,14 @@
 	Operators int64 `cbor:"5,keyasint,omitempty"`
 	List      int64 `cbor:"7,keyasint,omitempty"`
 	// Cold are upstreams that the sender found cold, with the time that is left.
-	Cold map[string]time.Duration `cbor:"6,keyasint,omitempty"`
+	Cold []Cold `cbor:"6,keyasint,omitempty"`
+}
+
+// Cold is an upstream that was found cold.
+type Cold struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream string
+	Left     time.Duration
 }
 
 // Verdict answers an ask.
--- a/sardinegate/watch/follow.go
+++ b/sardinegate/watch/follow.go
@@ -12,9 +12,10 @@
 
 const (
 	// readEvery is the age at which the first host reads a stream; each further host waits readStep more, so that one
-	// reads for all while it is alive and reaches the others.
-	readEvery = 750 * time.Millisecond
-	readStep  = 45 * time.Millisecond
+	// reads for all while it is alive and reaches the others. The last one waits at most readSpread.
+	readEvery  = 750 * time.Millisecond
+	readStep   = 45 * time.Millisecond
+	readSpread = 800 * time.Millisecond
 	// ageTick is the time between checks of the age.
 	ageTick = 40 * time.Millisecond
 	// joinTick is the time between attempts to copy what other hosts know at the start.
@@ -48,7 +49,7 @@
 	for ctx.Err() == nil {
 		s.tick()
 		known := read || s.has() && s.position() > lost
-		if known && s.age() < readEvery+time.Duration(w.rank())*readStep {
+		if known && s.age() < w.patience() {
 			pause.For(ctx, ageTick)
 			continue
 		}
@@ -85,15 +86,17 @@
 	return v.Routes != nil && v.Listed
 }
 
-// rank is this host's place among the hosts that are alive.
-func (w *Watcher) rank() int {
+// patience is the age at which this host reads: it grows with the host's place in the order of names.
+func (w *Watcher) patience() time.Duration {
+	alive := w.deps.Node.Alive()
 	rank := 0
-	for _, m := range w.deps.Node.Alive() {
+	for _, m := range alive {
 		if m.Host < w.deps.Host {
 			rank++
 		}
 	}
-	return rank
+	step := min(readStep, readSpread/time.Duration(len(alive)+1))
+	return readEvery + time.Duration(rank)*step
 }
 
 func (w *Watcher) newest(ctx context.Context, s stream) error {
