--- a/lib/grant/grant_test.go
+++ b/lib/grant/grant_test.go
@@ -201,6 +201,40 @@
 	})
 }
 
+// Guards against repeats beyond the budget while hosts are restarted in turn and each is the owner for a while.
+func TestRepeatBudgetWithChangingOwners(t *testing.T) {
+	cfg := settings()
+	cfg.RepeatSlack = 60
+	var us []fleet.Upstream
+	for i := range 50 {
+		us = append(us, upstreamIn(fmt.Sprint(i), passau))
+	}
+	v := view(t, us...)
+	first, repeats := 0, 0
+	for owner := range 6 {
+		s := New(cfg)
+		start := time.Duration(owner) * 1600 * time.Millisecond
+		s.Update(start, v)
+		for now := start; now < start+1600*time.Millisecond; now += 100 * time.Millisecond {
+			a := ask()
+			g := s.Decide(now, 0.5, a)
+			s.Finish(now, Done{ID: a.ID, Upstream: g.Upstream, Outcome: Abandoned})
+			first++
+			for range 20 {
+				a := ask()
+				a.Repeat = true
+				if g := s.Decide(now, 0.5, a); g.Upstream != "" {
+					repeats++
+					s.Finish(now, Done{ID: a.ID, Upstream: g.Upstream, Outcome: Abandoned})
+				}
+			}
+		}
+	}
+	if most := cfg.RepeatRatio*float64(first) + cfg.RepeatSlack; float64(repeats) > most {
+		t.Fatalf("%d repeats of %d requests within a window, the bound is %g", repeats, first, most)
+	}
+}
+
 // Guards against second attempts that gain nothing.
 func TestHedgeOnlyWhereItGains(t *testing.T) {
 	s := newState(t, upstreamIn("a", passau), upstreamIn("b", passau))
