entry: Send a long body once, return offers that cannot be used

Found by reading: the timer for second attempts did not look whether the body had been buffered, so a long body could have gone in parts to two upstreams; and an offer that came when all attempts were used stayed counted at the owner. TestLongBodyIsSentOnce fails for both without this change.

--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -24,7 +24,6 @@
 	Service    string `cbor:"2,keyasint"`
 	Address    string `cbor:"3,keyasint"`
 	DataCentre string `cbor:"4,keyasint"`
-	Version    string `cbor:"5,keyasint,omitempty"`
 	Slots      int    `cbor:"6,keyasint"`
 	State      State  `cbor:"7,keyasint,omitempty"`
 	// ColdFor is how long the upstream stayed cold from the moment of the report.
--- a/sardinegate/entry/entry_test.go
+++ b/sardinegate/entry/entry_test.go
@@ -55,6 +55,7 @@
 	}
 	if g.hedge && seconds != nil {
 		seconds <- broker.Grant{Verdict: grant.Verdict{Upstream: "z"}}
+		time.AfterFunc(10*time.Millisecond, func() { seconds <- broker.Grant{Verdict: grant.Verdict{Upstream: "c"}} })
 	}
 	return broker.Grant{Verdict: grant.Verdict{Upstream: string(rune('a' + len(a.Tried)))}}
 }
@@ -120,7 +121,7 @@
 			Timeout: 100 * time.Millisecond, MaxAttempts: 2, Parts: []route.Part{{Service: "s", Weight: 1}},
 		})
 	}
-	table, err := route.New(1, route.Limits{BodyBytes: 1000, HeaderBytes: 4000}, []route.Service{{Name: "s"}}, routes)
+	table, err := route.New(1, route.Limits{BodyBytes: 1 << 20, HeaderBytes: 4000}, []route.Service{{Name: "s"}}, routes)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -226,6 +227,21 @@
 	}
 }
 
+// Guards against a body that is sent in parts to two upstreams, and against offers that are kept although they cannot be used.
+func TestLongBodyIsSentOnce(t *testing.T) {
+	f := newFixture(t, map[string]answer{"a": hang, "b": hang, "z": hang})
+	if w := f.request("/safe/x", strings.Repeat("x", maxBuffered+1)); w.Code != http.StatusGatewayTimeout || len(f.sender.sent) != 1 {
+		t.Fatalf("got %d after %d sends", w.Code, len(f.sender.sent))
+	}
+	for _, a := range f.grants.asked[1:] {
+		t.Errorf("asked again with %+v", a)
+	}
+	f = newFixture(t, map[string]answer{"a": hang, "z": hang})
+	f.grants.hedge = true
+	f.request("/safe/x", "")
+	f.assertGrantsEnd(t, 3) // two attempts and the offer that came after them
+}
+
 // Guards against holding a request that has no room, and against answers of the wrong kind before any attempt.
 func TestRefusedBeforeAnyAttempt(t *testing.T) {
 	f := newFixture(t, nil)
@@ -241,7 +257,7 @@
 	}{
 		"no route":     {"/none/x", "", nil, 404},
 		"no id":        {"/once/x", "", []string{"Id", ""}, 400},
-		"long body":    {"/once/x", strings.Repeat("x", 1001), nil, 413},
+		"long body":    {"/once/x", strings.Repeat("x", 1<<20+1), nil, 413},
 		"long headers": {"/once/x", "", []string{"X", strings.Repeat("x", 4001)}, 431},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/sardinegate/entry/run.go
+++ b/sardinegate/entry/run.go
@@ -88,7 +88,7 @@
 	ended := make(chan *attempt, c.route.MaxAttempts)
 	hedge := time.NewTimer(time.Duration(hedgeFirst * float64(c.route.Target)))
 	defer hedge.Stop()
-	if c.route.Kind.MayRepeat() && c.further == nil {
+	if c.mayHedge() {
 		c.seconds = make(chan broker.Grant, 1)
 		defer h.returnSeconds(c)
 	}
@@ -114,25 +114,30 @@
 				return h.give(ctx, c)
 			}
 		case g := <-c.seconds:
-			if running != 1 || len(c.attempts) >= c.route.MaxAttempts || h.send(ctx, c, ended, g, true) != nil {
-				continue
+			if running != 1 || !c.mayHedge() {
+				h.deps.Grants.Finish(g, grant.Done{Outcome: grant.Unused})
+			} else if h.send(ctx, c, ended, g, true) == nil {
+				running++
 			}
-			running++
 		case <-hedge.C:
-			elapsed := time.Since(c.arrived)
-			if !c.route.Kind.MayRepeat() || len(c.attempts) >= c.route.MaxAttempts || elapsed > time.Duration(hedgeLast*float64(c.route.Target)) {
-				continue
-			}
-			if running == 1 && h.start(ctx, c, ended, true, true) == nil {
+			if running == 1 && c.mayHedge() && h.start(ctx, c, ended, true, true) == nil {
 				running++
 			}
-			hedge.Reset(time.Duration(hedgeStep * float64(c.route.Target)))
+			if time.Since(c.arrived) < time.Duration(hedgeLast*float64(c.route.Target)) {
+				hedge.Reset(time.Duration(hedgeStep * float64(c.route.Target)))
+			}
 		case <-ctx.Done():
 			return h.give(ctx, c)
 		}
 	}
 }
 
+// mayHedge reports whether the request may be sent to another upstream while an attempt is open. A body that was not
+// buffered whole can be sent once only.
+func (c *call) mayHedge() bool {
+	return c.route.Kind.MayRepeat() && c.further == nil && len(c.attempts) < c.route.MaxAttempts
+}
+
 // returnSeconds returns offers that were not taken.
 func (h *Handler) returnSeconds(c *call) {
 	select {
