front: Test that nothing behind the end of a connection is served

Found by turning guards off: without the check of c.ending, a request read behind a response that ends its connection was served, and no test failed. TestLeavingServerAnswersWhatItRead now counts what was served and fails without the check (3 served, want 2).

--- a/sardinegate/front/front_test.go
+++ b/sardinegate/front/front_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -116,7 +117,9 @@
 // Guards against lost requests behind a response that ends the connection.
 func TestLeavingServerAnswersWhatItRead(t *testing.T) {
 	release := make(chan struct{})
+	var served atomic.Int64
 	s, nc, br := start(t, func(w http.ResponseWriter, r *http.Request) {
+		served.Add(1)
 		<-release
 		echo(w, r)
 	})
@@ -134,6 +137,10 @@
 	}
 	write(t, nc, get("/3"))
 	assertEnd(t, br)
+	time.Sleep(2 * lingerTime) // the request behind the end was read by then
+	if n := served.Load(); n != 2 {
+		t.Fatalf("%d requests served, want 2: the caller sends the one behind the end again", n)
+	}
 }
 
 // open returns the requests that are served.
