standin: Speak the whole protocol of the users' store

It now has partitions, conditions on the end, producers with epochs, trimming, expiry, rates, sizes and groups, and can be slow, do writes late, or turn single callers away.

The process tests use the new faults: an outage of each kind alone fails no request (many, late, slow added), and hosts that the store turns away learn of a drain and of a new route within the bound of 2 s (TestGateStoreTurnsSomeAway, four kinds of refusal).

--- a/proofs/gate_test.go
+++ b/proofs/gate_test.go
@@ -313,7 +313,7 @@
 // Guards against hosts that start while the store is away and know nothing although others do, and against a drain
 // that is missed after the store's outage.
 func TestGateStoreAway(t *testing.T) {
-	for _, mode := range []string{"busy", "silent", "reset", "lost"} {
+	for _, mode := range []string{"busy", "many", "silent", "reset", "lost", "late", "slow"} {
 		t.Run(mode, func(t *testing.T) {
 			t.Parallel()
 			s := newGateSite(t, 1)
@@ -394,6 +394,40 @@
 	assertNoRunsAfter(t, seen, since.Add(2*time.Second), func(r gateRun) bool { return out[r.Upstream] })
 }
 
+// Guards against hosts that the store turns away while it serves the others: they must learn of every change from those.
+func TestGateStoreTurnsSomeAway(t *testing.T) {
+	for _, mode := range []string{"busy", "many", "reset", "silent"} {
+		t.Run(mode, func(t *testing.T) {
+			t.Parallel()
+			s := newGateSite(t, 2)
+			l := s.load(4)
+			// The first two in the order of names read for the others.
+			s.command(map[string]any{"Store": mode, "Only": []string{s.gates[2].ip, s.gates[3].ip}})
+			time.Sleep(3 * time.Second) // until the bounds hold again
+			drained := s.seen().Upstreams["booking/passau"][0]
+			s.command(map[string]any{"Drain": drained, "Prefixes": []string{"/later/"}})
+			since := time.Now()
+			time.Sleep(2 * time.Second) // the bound
+			for _, h := range s.gates {
+				if a := l.send(http.DefaultClient, h, "enquiry", "/later/x"); a.status != http.StatusOK {
+					t.Errorf("host %s answers %d on a new route", h.id, a.status)
+				}
+			}
+			time.Sleep(500 * time.Millisecond)
+			answers := l.stop()
+			seen := s.seen()
+			assertNoRunsAfter(t, seen, since.Add(2*time.Second), func(r gateRun) bool { return r.Upstream == drained })
+			for i := range seen.Runs {
+				if seen.Runs[i].Path == "/later/x" {
+					seen.Runs[i].Path = "/enquiry/"
+				}
+			}
+			assertPromises(t, answers, seen)
+			assertServed(t, answers, 1)
+		})
+	}
+}
+
 // Guards against orders that run twice, or are refused although they ran, when upstreams lose answers or crash.
 func TestGateUpstreamFaults(t *testing.T) {
 	s := newGateSite(t, 2)
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -1,15 +1,16 @@
-// Package store is a stand-in for the metadata store of the users' platform: keyed topics of one partition, read by
-// offset or by the newest record of each key.
+// Package store is a stand-in for the metadata store of the users' platform: partitions of records read by offset,
+// topics that keep the newest record of each key, and groups that share partitions, with faults that tests switch on.
 package store
 
 import (
-	"encoding/base64"
-	"encoding/binary"
+	"bytes"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,14 +18,42 @@
 )
 
 const (
-	// maxAppend bounds the body of an append in bytes.
-	maxAppend = 2 << 20
-	// pageItems is the most items of a page of newest records.
-	pageItems = 50
 	// answerAfter is the time a call takes.
 	answerAfter = 4 * time.Millisecond
+	// slowFactor is by how much a slow store takes longer.
+	slowFactor = 50
+	// lateAfter is when a late append takes effect.
+	lateAfter = time.Second
+	// maxTopics bounds the topics, and maxParts the partitions of each.
+	maxTopics, maxParts = 100, 64
+	// keyedPrefix begins the names of topics that keep the newest record of each key.
+	keyedPrefix = "keyed."
 )
 
+// readOnly are the topics that only the operators and the upstreams write.
+var readOnly = []string{"keyed.op", "keyed.servers"}
+
+// Limits are those of the store. Zero values mean no limit.
+type Limits struct {
+	// WritesPerSecond and ReadsPerSecond bound the calls of all callers.
+	WritesPerSecond, ReadsPerSecond float64
+	// RecordBytes bounds a record, CallBytes the records of an append, and TotalBytes what the store holds.
+	RecordBytes, CallBytes, TotalBytes int
+	// Keep is how long records of topics without keys are held.
+	Keep time.Duration
+	// LeastLifetime is the least lifetime of a group's member.
+	LeastLifetime time.Duration
+}
+
+// DefaultLimits are those of the users' sites.
+func DefaultLimits() Limits {
+	return Limits{
+		WritesPerSecond: 400, ReadsPerSecond: 2000,
+		RecordBytes: 256 << 10, CallBytes: 2 << 20, TotalBytes: 400 << 20,
+		Keep: 300 * time.Second, LeastLifetime: time.Second,
+	}
+}
+
 // Mode is how the store answers the system's calls.
 type Mode string
 
@@ -32,53 +61,76 @@
 const (
 	Up     Mode = "up"
 	Busy   Mode = "busy"   // 503
+	Many   Mode = "many"   // 429
 	Silent Mode = "silent" // no answer
 	Reset  Mode = "reset"  // the connection is reset
-	Lost   Mode = "lost"   // appends are done and not answered
+	Slow   Mode = "slow"   // answers take slowFactor times as long
+	Lost   Mode = "lost"   // writes are done and not answered
+	Late   Mode = "late"   // writes are done lateAfter their arrival and not answered
 )
 
-type record struct{ key, value []byte }
-
-type topic struct {
-	first   int64
-	records []record // from offset first on
-	newest  map[string]int64
-	kept    map[string][]byte
-	grown   chan struct{} // closed at the next append
+type partKey struct {
+	topic string
+	part  int
 }
 
 // Store is safe for concurrent use.
 type Store struct {
+	limits Limits
+	now    func() time.Time
 	router *mux.Router
+	late   sync.WaitGroup
+	closed chan struct{}
 
 	mu     sync.Mutex
-	topics map[string]*topic
+	parts  map[partKey]*part
+	groups map[string]*group
 	mode   Mode
+	// only holds the IP addresses of the callers that the mode concerns; empty means all.
+	only   []string
+	reads  bucket
+	writes bucket
 	calls  int
 }
 
 // New returns an empty store.
-func New() *Store {
-	s := &Store{router: mux.NewRouter(), topics: make(map[string]*topic), mode: Up}
-	s.router.HandleFunc("/log-append", s.append).Methods(http.MethodPost)
-	s.router.HandleFunc("/log-read", s.read).Methods(http.MethodGet)
-	s.router.HandleFunc("/log-newest", s.newest).Methods(http.MethodGet)
+func New(limits Limits) *Store {
+	s := &Store{
+		limits: limits, now: time.Now, router: mux.NewRouter(), mode: Up, closed: make(chan struct{}),
+		parts: make(map[partKey]*part), groups: make(map[string]*group),
+	}
+	for path, h := range map[string]http.HandlerFunc{
+		"/log-append": s.append, "/log-trim": s.trim, "/log-join": s.join, "/log-leave": s.leave, "/log-commit": s.commit,
+	} {
+		s.router.HandleFunc(path, h).Methods(http.MethodPost)
+	}
+	for path, h := range map[string]http.HandlerFunc{
+		"/log-read": s.read, "/log-newest": s.newest, "/log-owners": s.owners,
+	} {
+		s.router.HandleFunc(path, h).Methods(http.MethodGet)
+	}
 	return s
 }
 
-// SetMode changes how calls are answered.
-func (s *Store) SetMode(m Mode) {
+// Close drops the writes that are still to be done and waits.
+func (s *Store) Close() {
+	close(s.closed)
+	s.late.Wait()
+}
+
+// SetMode changes how calls are answered: all of them, or those from the IP addresses named.
+func (s *Store) SetMode(m Mode, only ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.mode = m
+	s.mode, s.only = m, only
 }
 
 // Deafen makes the reads that wait at present miss all growth, as after a network fault.
 func (s *Store) Deafen() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, t := range s.topics {
-		t.grown = make(chan struct{})
+	for _, p := range s.parts {
+		p.grown = make(chan struct{})
 	}
 }
 
@@ -89,185 +141,154 @@
 	return s.calls
 }
 
-func (s *Store) topic(name string) *topic {
-	t := s.topics[name]
-	if t == nil {
-		t = &topic{newest: make(map[string]int64), kept: make(map[string][]byte), grown: make(chan struct{})}
-		s.topics[name] = t
-	}
-	return t
-}
-
 // Put appends a record as the operators or an upstream do; an empty value removes the key.
-func (s *Store) Put(name, key string, value []byte) {
+func (s *Store) Put(topic, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.topic(name).add(record{[]byte(key), value})
-}
-
-func (t *topic) add(r record) int64 {
-	offset := t.first + int64(len(t.records))
-	t.records = append(t.records, r)
-	if len(r.value) == 0 {
-		delete(t.kept, string(r.key))
-		delete(t.newest, string(r.key))
-	} else {
-		t.kept[string(r.key)], t.newest[string(r.key)] = r.value, offset
+	if p := s.part(partKey{topic, 0}); p != nil {
+		p.add([][]byte{keyed(key, value)}, s.now())
 	}
-	close(t.grown)
-	t.grown = make(chan struct{})
-	return offset
 }
 
 // Forget deletes the history of a topic; the newest record of each key stays.
-func (s *Store) Forget(name string) {
+func (s *Store) Forget(topic string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.topic(name)
-	t.first += int64(len(t.records))
-	t.records = nil
-	close(t.grown)
-	t.grown = make(chan struct{})
+	if p := s.part(partKey{topic, 0}); p != nil {
+		p.trim(p.end())
+		p.wake()
+	}
+}
+
+// part returns a partition, created on first use, or nil if there may be no more topics. The caller holds mu.
+func (s *Store) part(key partKey) *part {
+	p := s.parts[key]
+	if p != nil {
+		return p
+	}
+	topics := make(map[string]struct{})
+	for k := range s.parts {
+		topics[k.topic] = struct{}{}
+	}
+	if _, ok := topics[key.topic]; !ok && len(topics) >= maxTopics {
+		return nil
+	}
+	p = newPart(strings.HasPrefix(key.topic, keyedPrefix))
+	s.parts[key] = p
+	return p
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	s.calls++
-	mode := s.mode
-	s.mu.Unlock()
-	time.Sleep(answerAfter)
-	switch mode {
-	case Busy:
+	write := r.Method == http.MethodPost
+	mode, ok := s.admit(r, write)
+	if !ok {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	took := answerAfter
+	if mode == Slow {
+		took *= slowFactor
+	}
+	time.Sleep(took)
+	switch {
+	case mode == Busy:
 		w.WriteHeader(http.StatusServiceUnavailable)
-	case Silent:
+	case mode == Many:
+		w.WriteHeader(http.StatusTooManyRequests)
+	case mode == Silent:
 		<-r.Context().Done()
-	case Reset:
+	case mode == Reset:
+		panic(http.ErrAbortHandler)
+	case mode == Lost && write:
+		s.router.ServeHTTP(discard{}, r)
+		panic(http.ErrAbortHandler)
+	case mode == Late && write:
+		s.postpone(r)
 		panic(http.ErrAbortHandler)
-	case Lost:
-		if r.Method == http.MethodPost {
-			s.router.ServeHTTP(discard{}, r)
-			panic(http.ErrAbortHandler)
-		}
-		s.router.ServeHTTP(w, r)
 	default:
 		s.router.ServeHTTP(w, r)
 	}
 }
 
-// discard is a response that is lost.
-type discard struct{}
-
-func (discard) Header() http.Header         { return http.Header{} }
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
-func (discard) WriteHeader(int)             {}
-
-func (s *Store) append(w http.ResponseWriter, r *http.Request) {
-	name := r.URL.Query().Get("topic")
-	if name == "keyed.op" || name == "keyed.servers" {
-		w.WriteHeader(http.StatusForbidden)
-		return
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAppend))
+// admit counts a call and returns the mode for its caller, and false if the calls are more than the limits allow.
+func (s *Store) admit(r *http.Request, write bool) (Mode, bool) {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
-		w.WriteHeader(http.StatusRequestEntityTooLarge)
-		return
+		host = r.RemoteAddr
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := s.topic(name)
-	offset := t.first + int64(len(t.records))
-	for len(body) >= 5 {
-		n, key := int(binary.BigEndian.Uint32(body)), int(body[4])
-		if len(body) < 4+n || n < 1+key {
-			w.WriteHeader(http.StatusBadRequest)
-			return
-		}
-		content := body[5 : 4+n]
-		t.add(record{content[:key], content[key:]})
-		body = body[4+n:]
+	s.calls++
+	cost := 1.0
+	if r.URL.Path == "/log-join" {
+		cost = 0.1
 	}
-	_ = json.NewEncoder(w).Encode(map[string]int64{"offset": offset, "end": t.first + int64(len(t.records))})
+	b, rate := &s.reads, s.limits.ReadsPerSecond
+	if write {
+		b, rate = &s.writes, s.limits.WritesPerSecond
+	}
+	ok := b.take(s.now(), rate, cost)
+	if len(s.only) > 0 && !slices.Contains(s.only, host) {
+		return Up, ok
+	}
+	return s.mode, ok
 }
 
-func (s *Store) read(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	from, err := strconv.ParseInt(q.Get("from"), 10, 64)
+// postpone does a write later, if its condition still holds then.
+func (s *Store) postpone(r *http.Request) {
+	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	wait, _ := strconv.Atoi(q.Get("wait-ms")) // absent means no wait
-	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
-	defer timer.Stop()
-	for {
-		s.mu.Lock()
-		t := s.topic(q.Get("topic"))
-		end, grown := t.first+int64(len(t.records)), t.grown
-		if from < t.first {
-			first := t.first
-			s.mu.Unlock()
-			w.WriteHeader(http.StatusGone)
-			_ = json.NewEncoder(w).Encode(map[string]int64{"first": first})
-			return
-		}
-		var out []byte
-		if from < end || wait == 0 {
-			out = t.since(from)
-		}
-		s.mu.Unlock()
-		if out != nil {
-			_, _ = w.Write(out) // the reader may have gone
-			return
-		}
+	later := r.Clone(r.Context())
+	later.Body = io.NopCloser(bytes.NewReader(body))
+	s.late.Go(func() {
 		select {
-		case <-grown:
-		case <-timer.C:
-			wait = 0
-		case <-r.Context().Done():
-			return
+		case <-time.After(lateAfter):
+			s.router.ServeHTTP(discard{}, later)
+		case <-s.closed:
 		}
-	}
+	})
 }
 
-// since encodes the records from an offset on.
-func (t *topic) since(from int64) []byte {
-	out := binary.BigEndian.AppendUint64(nil, uint64(t.first+int64(len(t.records))))
-	out = binary.BigEndian.AppendUint64(out, uint64(t.first))
-	for i := from - t.first; i < int64(len(t.records)); i++ {
-		r := t.records[i]
-		out = binary.BigEndian.AppendUint32(out, uint32(1+len(r.key)+len(r.value)))
-		out = append(out, byte(len(r.key)))
-		out = append(append(out, r.key...), r.value...)
-	}
-	return out
+// discard is a response that is lost.
+type discard struct{}
+
+func (discard) Header() http.Header         { return http.Header{} }
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+func (discard) WriteHeader(int)             {}
+
+// bucket bounds a rate to what one second allows.
+type bucket struct {
+	used float64
+	at   time.Time
 }
 
-func (s *Store) newest(w http.ResponseWriter, r *http.Request) {
-	type item struct {
-		Key    string `json:"key"`
-		Value  string `json:"value"`
-		Offset int64  `json:"offset"`
+func (b *bucket) take(now time.Time, rate, cost float64) bool {
+	b.used = max(0, b.used-now.Sub(b.at).Seconds()*rate)
+	b.at = now
+	if rate > 0 && b.used+cost > rate {
+		return false
 	}
-	page := struct {
-		Items   []item `json:"items"`
-		HasMore bool   `json:"has-more"`
-		End     int64  `json:"end"`
-	}{Items: []item{}}
-	s.mu.Lock()
-	t := s.topic(r.URL.Query().Get("topic"))
-	page.End = t.first + int64(len(t.records))
-	keys := make([]string, 0, len(t.kept))
-	for key := range t.kept {
-		if key > r.URL.Query().Get("after") {
-			keys = append(keys, key)
-		}
-	}
-	slices.Sort(keys)
-	page.HasMore = len(keys) > pageItems
-	for _, key := range keys[:min(len(keys), pageItems)] {
-		page.Items = append(page.Items, item{key, base64.StdEncoding.EncodeToString(t.kept[key]), t.newest[key]})
+	b.used += cost
+	return true
+}
+
+// target returns the partition that a query names, or answers the call and returns false.
+func target(w http.ResponseWriter, r *http.Request) (partKey, bool) {
+	q := r.URL.Query()
+	n, err := strconv.Atoi(q.Get("part"))
+	topic := q.Get("topic")
+	if err != nil || n < 0 || n >= maxParts || topic == "" || n > 0 && strings.HasPrefix(topic, keyedPrefix) {
+		w.WriteHeader(http.StatusBadRequest)
+		return partKey{}, false
 	}
-	s.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(page) // the reader may have gone
+	return partKey{topic, n}, true
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // the caller may have gone
 }
--- a/standin/users/users.go
+++ b/standin/users/users.go
@@ -58,7 +58,7 @@
 
 // New starts the stand-in.
 func New(cfg Settings) (*Site, error) {
-	s := &Site{cfg: cfg, store: store.New(), upstreams: make(map[string]*upstream), port: cfg.Upstreams.Port()}
+	s := &Site{cfg: cfg, store: store.New(store.DefaultLimits()), upstreams: make(map[string]*upstream), port: cfg.Upstreams.Port()}
 	for service := range services {
 		for _, zone := range zones {
 			for range cfg.Each {
@@ -89,6 +89,7 @@
 		u.http.Close()
 		u.Close()
 	}
+	s.store.Close()
 }
 
 func (s *Site) add(service, zone string) error {
@@ -149,10 +150,16 @@
 
 // Command is one change of the stand-in; fields that are not set change nothing.
 type Command struct {
-	// Store is the mode of the store; Forget deletes the history of a topic.
-	Store, Forget string
+	// Store is the mode of the store, for the callers with the IP addresses in Only, or for all.
+	Store string
+	Only  []string
+	// Forget deletes the history of a topic.
+	Forget string
 	// Deafen makes the reads that wait at present miss all growth.
 	Deafen bool
+	// Rebalance deals all partitions of groups anew, and Rewind moves their committed offsets back.
+	Rebalance bool
+	Rewind    int64
 	// Prefixes are further prefixes of a new configuration.
 	Prefixes []string
 	// Out and Back are zones to take out of service and back.
@@ -182,7 +189,7 @@
 
 func (s *Site) apply(c Command) error {
 	if c.Store != "" {
-		s.store.SetMode(store.Mode(c.Store))
+		s.store.SetMode(store.Mode(c.Store), c.Only...)
 	}
 	if c.Forget != "" {
 		s.store.Forget(c.Forget)
@@ -190,6 +197,10 @@
 	if c.Deafen {
 		s.store.Deafen()
 	}
+	if c.Rebalance {
+		s.store.Rebalance()
+	}
+	s.store.Rewind(c.Rewind)
 	if c.Prefixes != nil {
 		s.configure(c.Prefixes)
 	}
