standin: Add callers of the users' platform and a demonstration

demo/platform runs store, upstreams, four sardinegate hosts and callers as separate processes, kills a host, makes the store turn hosts away, takes a data centre out and back and stops a host. The callers resolve, keep addresses and repeat as the platform's callers do, and compare what they saw with what ran.

--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,7 @@
 
 demo: build
 	demo/run
+	demo/platform
 
 clean:
 	rm -rf bin out
--- /dev/null
+++ b/standin/caller/caller_test.go
@@ -0,0 +1,103 @@
+package caller
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"sardinecross.example/standin/server"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// host is a host that answers the directory with itself and requests with a status.
+type host struct {
+	*httptest.Server
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func newHost(t *testing.T, status func(n int) int) (*host, Settings) {
+	t.Helper()
+	h := &host{runs: make(map[string]int)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/resolve", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"addrs":["` + strings.TrimPrefix(h.URL, "http://") + `"],"ttl-s":2}`))
+	})
+	n := 0
+	mux.HandleFunc("/booking/", func(w http.ResponseWriter, r *http.Request) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		s := status(n)
+		n++
+		id := r.Header.Get("Request-Id")
+		if s != http.StatusOK {
+			w.WriteHeader(s)
+			return
+		}
+		h.runs[id]++
+		w.Header().Set("Response-Signature", server.Signature(id))
+		_, _ = w.Write([]byte(server.Body(id, r.RequestURI, int(r.ContentLength))))
+	})
+	h.Server = httptest.NewServer(mux)
+	t.Cleanup(h.Close)
+	return h, Settings{
+		Directories: []netip.AddrPort{netip.MustParseAddrPort(strings.TrimPrefix(h.URL, "http://"))},
+		Host:        "a.example", Services: []string{"booking"}, Orders: []string{"booking"}, Rate: 50, Duration: 300 * time.Millisecond,
+	}
+}
+
+// Guards against callers that repeat what may have run, or give up what may be repeated.
+func TestRepeats(t *testing.T) {
+	for status, attempts := range map[int]int{200: 1, 502: 1, 503: 2, 404: 1} {
+		h, cfg := newHost(t, func(n int) int {
+			if n == 0 {
+				return status
+			}
+			return http.StatusOK
+		})
+		requests := Run(t.Context(), cfg, 1)
+		if len(requests) == 0 {
+			t.Fatal("nothing was sent")
+		}
+		most := 0
+		for _, r := range requests {
+			most = max(most, len(r.Attempts))
+		}
+		if most != attempts {
+			t.Errorf("after %d an order was sent %d times, want %d", status, most, attempts)
+		}
+		if breaches := Audit(requests, cfg.Orders, h.runs); len(breaches) != 0 != (status == 404) {
+			t.Errorf("after %d: %v", status, breaches)
+		}
+	}
+}
+
+// Guards against an audit that passes broken promises.
+func TestAudit(t *testing.T) {
+	for name, c := range map[string]struct {
+		status, runs int
+		whole        bool
+		breaches     int
+	}{
+		"served":          {200, 1, true, 0},
+		"ran twice":       {200, 2, true, 1},
+		"refused and ran": {503, 1, false, 1},
+		"not its own":     {200, 1, false, 1},
+		"denied":          {404, 0, false, 1},
+		"unknown outcome": {502, 1, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := Request{Service: "booking", Attempts: []Attempt{{ID: "a", Service: "booking", Status: c.status, Whole: c.whole}}}
+			if got := Audit([]Request{r}, []string{"booking"}, map[string]int{"a": c.runs}); len(got) != c.breaches {
+				t.Errorf("breaches: %v", got)
+			}
+		})
+	}
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -1,4 +1,5 @@
-// Command standin runs stand-ins for the platform's log, its host list and upstreams, and for the users' platform.
+// Command standin runs stand-ins for the platform's log, its host list and upstreams, and for the users' platform and
+// its callers.
 package main
 
 import (
@@ -32,6 +33,7 @@
        standin hosts -listen IP:PORT -control IP:PORT
        standin upstreams -listen IP:PORT -control IP:PORT [-workers N] [-service NAME] [-slots N]
        standin platform -listen IP:PORT -control IP:PORT -upstreams IP:PORT [-workers N]
+       standin callers -directories IP:PORT[,IP:PORT...] -control IP:PORT -zone NAME [-rate N] [-duration D] [-seed N]
 `
 
 func main() {
@@ -66,6 +68,9 @@
 		fmt.Fprint(stderr, usage) //nolint:errcheck // nowhere to report it
 		return exitUsage
 	}
+	if args[0] == "callers" {
+		return runCallers(ctx, args[1:], stdout, stderr)
+	}
 	opt, err := parse(args[0], args[1:], stderr)
 	if err != nil {
 		return exitUsage
--- a/standin/main_test.go
+++ b/standin/main_test.go
@@ -23,6 +23,8 @@
 		"unknown key":        {[]string{"log"}, `{"lisen": "127.0.0.1:1"}`, exitUsage, ":1:2: lisen"},
 		"unknown service":    {[]string{"upstreams"}, `{"control": "127.0.0.1:1", "services": {"s": {}}, "workers": [{"id": "w", "service": "x", "dataCentre": "p", "address": "127.0.0.1:2"}]}`, exitUsage, "workers: w"},
 		"host without peers": {[]string{"hosts"}, `{"listen": "127.0.0.1:1", "control": "127.0.0.1:2", "entries": [{"id": "h", "role": "host", "dataCentre": "p", "address": "127.0.0.1:3"}]}`, exitUsage, "entries[0].peerAddress"},
+		"callers of nobody":  {[]string{"callers", "-control", "127.0.0.1:2"}, "", exitUsage, "-directories"},
+		"callers, bad flag":  {[]string{"callers", "-rat", "1"}, "", exitUsage, "-rat"},
 		"not this machine":   {[]string{"log", "-listen", "192.0.2.1:1", "-control", "192.0.2.1:2"}, "", exitFailed, "listen on 192.0.2.1:1"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -177,10 +177,16 @@
 	if _, dropping := s.state(); dropping {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("Response-Signature", "signed-"+id)
-	_, _ = fmt.Fprintf(w, "%s %s %d", id, r.RequestURI, len(body)) // the host may have gone
+	w.Header().Set("Response-Signature", Signature(id))
+	_, _ = io.WriteString(w, Body(id, r.RequestURI, len(body))) // the host may have gone
 }
 
+// Body returns the response body to a request whose own body has n bytes.
+func Body(id, target string, n int) string { return fmt.Sprintf("%s %s %d", id, target, n) }
+
+// Signature returns the signature of the response to a request.
+func Signature(id string) string { return "signed-" + id }
+
 func (s *Server) refuse(w http.ResponseWriter) {
 	w.Header().Set("Not-Executed", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
--- a/standin/users/users.go
+++ b/standin/users/users.go
@@ -4,8 +4,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,11 +33,20 @@
 	Each int
 }
 
+// Host is the host name of all routes. Service S has the prefix /S/.
+const Host = "a.example"
+
+// Orders is the service whose requests may run once.
+const Orders = "booking"
+
 var (
 	zones    = []string{"passau", "landshut"}
-	services = map[string]string{"enquiry": "safe", "booking": "unsafe", "archive": "download"}
+	services = map[string]string{"enquiry": "safe", Orders: "unsafe", "archive": "download"}
 )
 
+// Services returns the names of the services.
+func Services() []string { return slices.Sorted(maps.Keys(services)) }
+
 type upstream struct {
 	*server.Server
 	http    *serve.Server
@@ -140,7 +151,7 @@
 	value, err := json.Marshal(map[string]any{
 		"version":   version,
 		"limits":    map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-s": 3, "idle-timeout-s": 15},
-		"listeners": []any{map[string]any{"host": "a.example", "policy": rules}},
+		"listeners": []any{map[string]any{"host": Host, "policy": rules}},
 		"clusters":  clusters,
 	})
 	if err == nil {
