sardinegate: Log why a request was refused or late, and lost upstreams

Explaining a refusal from the log needed the owner's state, which no line held: the verdict now carries how many upstreams were out, tried, cold, dead and full, and how many requests waited, and the line of the request shows it. A request served after its target was logged as INFO, and so left out first when lines exceed their limit; it is a warning now, with the target beside it. A probe without a response changed what the owner believed without a line: the loss and the return of an upstream, its health status and its being cold are logged once each.

--- a/lib/grant/grant_test.go
+++ b/lib/grant/grant_test.go
@@ -74,6 +74,25 @@
 	assertRefused(t, s.Decide(0, 0, a), NoUpstream)
 }
 
+// Guards against refusals whose cause cannot be told from the log afterwards.
+func TestRefusalsTellTheirInputs(t *testing.T) {
+	leaving := upstreamIn("a", passau)
+	leaving.State = fleet.Leaving
+	s := newState(t, leaving, upstreamIn("b", landshut), upstreamIn("c", passau), upstreamIn("d", passau), upstreamIn("e", passau))
+	s.Heard(0, "b", fleet.Report{Slots: 4, Running: 4, Factor: 100}, true, false)
+	s.Heard(0, "d", fleet.Report{Slots: 4, ColdFor: time.Minute}, true, false)
+	s.Probed(0, "e")
+	now := deadAfter + time.Millisecond
+	s.Heard(now, "b", fleet.Report{Slots: 4, Running: 4, Factor: 100}, true, false)
+	a := ask()
+	a.Tried, a.Alone = []string{"c"}, true
+	v := s.Decide(now, 0, a)
+	assertRefused(t, v, NoRoom)
+	if want := (Census{Listed: 5, Out: 1, Tried: 1, Cold: 1, Dead: 1, Full: 1}); v.Census == nil || *v.Census != want {
+		t.Errorf("got %+v, want %+v", v.Census, want)
+	}
+}
+
 // Guards against sending to a machine that is known to be slow while a quick one is free.
 func TestSlowMachineIsAvoided(t *testing.T) {
 	s := newState(t, upstreamIn("a", passau), upstreamIn("b", passau))
--- a/lib/grant/pick.go
+++ b/lib/grant/pick.go
@@ -16,12 +16,36 @@
 	}
 	v := s.decide(now, rnd, svc, &a)
 	if v.Reason != NoRoom || a.Alone || a.Hedge || len(svc.waiting) >= maxWaiting {
-		return v
+		return s.explain(now, svc, &a, v)
 	}
 	svc.waiting = append(svc.waiting, waiter{a, now + time.Duration(holdShare*float64(a.Target))})
 	return Verdict{Reason: Queued}
 }
 
+// explain adds the inputs to a refusal.
+func (s *State) explain(now time.Duration, svc *service, a *Ask, v Verdict) Verdict {
+	if v.Upstream != "" || a.Hedge {
+		return v
+	}
+	c := &Census{Listed: len(svc.upstreams), Waiting: len(svc.waiting)}
+	for _, u := range svc.upstreams {
+		switch {
+		case !s.working(u):
+			c.Out++
+		case slices.Contains(a.Tried, u.ID):
+			c.Tried++
+		case u.isCold(now) && (a.Alone || u.tokens < 1):
+			c.Cold++
+		case u.dead(now):
+			c.Dead++
+		case u.inflight(now) >= u.slots():
+			c.Full++
+		}
+	}
+	v.Census = c
+	return v
+}
+
 func (svc *service) counts(a *Ask) *budget {
 	if a.Alone {
 		return &svc.alone
@@ -115,7 +139,7 @@
 				keep = append(keep, w)
 				continue
 			}
-			out = append(out, Released{w.ask.ID, v})
+			out = append(out, Released{w.ask.ID, s.explain(now, svc, &w.ask, v)})
 		}
 		svc.waiting = keep
 	}
--- a/lib/grant/state.go
+++ b/lib/grant/state.go
@@ -81,11 +81,13 @@
 	NoGain
 	// Queued says that the verdict follows.
 	Queued
+	// Ended says that the request ended before the verdict.
+	Ended
 )
 
 // String returns the name used in logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"granted", "noUpstream", "noRoom", "noBudget", "noGain", "queued"}[r]
+	return [...]string{"granted", "noUpstream", "noRoom", "noBudget", "noGain", "queued", "requestEnded"}[r]
 }
 
 // Verdict is the decision on an ask.
@@ -100,6 +102,19 @@
 	Inflight int
 	Factor   float64
 	Age      time.Duration
+	// Census holds the inputs of a refusal; nil with a grant.
+	Census *Census
+}
+
+// Census counts the upstreams of a service as a refusal found them. Each counts once, in the first group that fits.
+type Census struct {
+	_ struct{} `cbor:",toarray"`
+	// Listed are all, Out those that leave or whose data centre is out of service.
+	Listed, Out int
+	// Tried had the request before, Cold have used up their cold rate, Dead answer no probes, Full have no free slot.
+	Tried, Cold, Dead, Full int
+	// Waiting is the number of requests that wait for room.
+	Waiting int
 }
 
 // flight is a granted attempt that has not ended.
--- a/sardinegate/broker/broker.go
+++ b/sardinegate/broker/broker.go
@@ -191,7 +191,7 @@
 			}
 			t.Reset(a.Target) // the owner refuses before that
 		case <-ctx.Done():
-			return Grant{grant.Verdict{Reason: grant.NoUpstream}, a.ID, owner}
+			return Grant{grant.Verdict{Reason: grant.Ended}, a.ID, owner}
 		case <-t.C:
 			waiting = false
 		}
--- a/sardinegate/broker/broker_test.go
+++ b/sardinegate/broker/broker_test.go
@@ -5,7 +5,9 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -125,6 +127,31 @@
 	other.node.Close()
 }
 
+// Guards against an upstream whose loss and return nobody can tell from the log, and against a line for each probe.
+func TestLostUpstreamIsLogged(t *testing.T) {
+	all := hosts(t, "a")
+	h := all["a"]
+	var out strings.Builder
+	h.deps.Log = slog.New(slog.NewTextHandler(&out, nil))
+	u := h.view.Upstreams["u"]
+	p := &probe{}
+	for range 2 {
+		h.probe(t.Context(), p, u, "/health")
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	u.Address = strings.TrimPrefix(server.URL, "http://")
+	for range 2 {
+		h.probe(t.Context(), p, u, "/health")
+	}
+	for _, line := range []string{`msg="upstream lost" upstream=u`, `msg="upstream changed" upstream=u`} {
+		if strings.Count(out.String(), line) != 1 {
+			t.Errorf("not one line %s in:\n%s", line, out.String())
+		}
+	}
+	h.node.Close()
+}
+
 // Guards against an ask that waits at the owner for ever, and against grants that are lost with it.
 func TestQueuedAskIsAnswered(t *testing.T) {
 	all := hosts(t, "a", "b")
--- a/sardinegate/broker/probe.go
+++ b/sardinegate/broker/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -26,6 +27,8 @@
 	due     time.Duration
 	sent    time.Duration
 	running bool
+	// lost, ill and cold are what the last probe found.
+	lost, ill, cold bool
 }
 
 func (b *Broker) probeLoop(ctx context.Context) {
@@ -76,9 +79,9 @@
 }
 
 func (b *Broker) probe(ctx context.Context, p *probe, u fleet.Upstream, path string) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	probing, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	resp, err := b.deps.Pool.Do(ctx, &pool.Request{
+	resp, err := b.deps.Pool.Do(probing, &pool.Request{
 		Address: u.Address,
 		Method:  http.MethodGet,
 		Target:  path,
@@ -90,7 +93,8 @@
 	defer b.mu.Unlock()
 	p.running = false
 	if err != nil {
-		return // the probe stays unanswered: the upstream counts as silent
+		b.lose(ctx, p, u, err.Error())
+		return
 	}
 	if resp.Further != nil {
 		_ = resp.Further.Close() // no health response is that long
@@ -98,7 +102,22 @@
 	a := b.deps.Dialect.Answer(resp.Status, resp.Header)
 	report, ok := b.deps.Dialect.Load(resp.Header)
 	if !ok || a.Upstream != "" && a.Upstream != u.ID {
+		b.lose(ctx, p, u, fmt.Sprintf("health response %d of %q without a load report or of another upstream", resp.Status, a.Upstream))
 		return
 	}
-	b.state.Heard(now, u.ID, report, true, resp.Status != http.StatusOK)
+	ill, cold := resp.Status != http.StatusOK, report.ColdFor > 0
+	if p.lost || ill != p.ill || cold != p.cold {
+		b.deps.Log.Info("upstream changed", "upstream", u.ID, "service", u.Service, "dataCentre", u.DataCentre,
+			"regained", p.lost, "healthStatus", resp.Status, "coldMs", report.ColdFor.Milliseconds())
+	}
+	p.lost, p.ill, p.cold = false, ill, cold
+	b.state.Heard(now, u.ID, report, true, ill)
+}
+
+// lose notes a probe without a usable response; the upstream counts as silent until one arrives.
+func (b *Broker) lose(ctx context.Context, p *probe, u fleet.Upstream, reason string) {
+	if !p.lost && ctx.Err() == nil {
+		b.deps.Log.Warn("upstream lost", "upstream", u.ID, "service", u.Service, "dataCentre", u.DataCentre, "reason", reason)
+	}
+	p.lost = true
 }
--- a/sardinegate/entry/entry.go
+++ b/sardinegate/entry/entry.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -180,8 +181,9 @@
 	status     int
 	reason     string
 	retryAfter time.Duration
-	// by is the host that decided on a refusal.
-	by string
+	// by is the host that decided on a refusal, census what it found.
+	by     string
+	census *grant.Census
 }
 
 func refuse(status int, reason string, retryAfter time.Duration) *outcome {
@@ -215,23 +217,36 @@
 	took := time.Since(c.arrived)
 	kind, name := "none", ""
 	var version int64
+	var target time.Duration
 	if c.route != nil {
-		kind, name = c.route.Kind.String(), c.route.Name
+		kind, name, target = c.route.Kind.String(), c.route.Name, c.route.Target
 	}
 	if c.view.Routes != nil {
 		version = c.view.Routes.Version
 	}
 	h.deps.Record.Request(kind, outcomeWord(status), took)
 	level := slog.LevelInfo
-	if status < 200 || status > 299 {
+	if status < 200 || status > 299 || target > 0 && took > target {
 		level = slog.LevelWarn
 	}
 	if !h.deps.Log.Enabled(context.Background(), level) {
 		return
 	}
-	h.deps.Log.Log(context.Background(), level, "request", "id", c.id, "route", name, "kind", kind, "service", c.service,
-		"configuration", version, "status", status, "outcome", o.reason, "decidedBy", o.by, "retryAfterMs", o.retryAfter.Milliseconds(),
-		"tookMs", took.Milliseconds(), "attempts", describe(c.attempts))
+	attrs := []any{
+		"id", c.id, "route", name, "kind", kind, "service", c.service, "configuration", version,
+		"status", status, "outcome", o.reason, "tookMs", took.Milliseconds(), "targetMs", target.Milliseconds(),
+	}
+	if o.by != "" {
+		attrs = append(attrs, "decidedBy", o.by, "retryAfterMs", o.retryAfter.Milliseconds())
+	}
+	if n := o.census; n != nil {
+		attrs = append(attrs, "upstreams", fmt.Sprintf("listed=%d out=%d tried=%d cold=%d dead=%d full=%d waiting=%d",
+			n.Listed, n.Out, n.Tried, n.Cold, n.Dead, n.Full, n.Waiting))
+	}
+	if len(c.attempts) > 0 {
+		attrs = append(attrs, "attempts", describe(c.attempts))
+	}
+	h.deps.Log.Log(context.Background(), level, "request", attrs...)
 }
 
 // outcomeWord groups statuses for counters.
--- a/sardinegate/entry/entry_test.go
+++ b/sardinegate/entry/entry_test.go
@@ -51,7 +51,9 @@
 	defer g.mu.Unlock()
 	g.asked = append(g.asked, a)
 	if g.none || a.Hedge {
-		return broker.Grant{Verdict: grant.Verdict{Reason: grant.NoRoom, RetryAfter: 120 * time.Millisecond}}
+		return broker.Grant{By: "owner", Verdict: grant.Verdict{
+			Reason: grant.NoRoom, RetryAfter: 120 * time.Millisecond, Census: &grant.Census{Listed: 3, Out: 1, Full: 2, Waiting: 7},
+		}}
 	}
 	if g.hedge && seconds != nil {
 		seconds <- broker.Grant{Verdict: grant.Verdict{Upstream: "z"}}
@@ -273,6 +275,37 @@
 	}
 }
 
+// Guards against log lines of failed requests that are left out before those of others, or do not tell the cause.
+func TestFailedRequestsAreWarnings(t *testing.T) {
+	slow := func(ctx context.Context, r *pool.Request) (*pool.Response, error) {
+		time.Sleep(60 * time.Millisecond) // the target is 50 ms
+		return served(ctx, r)
+	}
+	for name, c := range map[string]struct {
+		a     answer
+		none  bool
+		words []string
+	}{
+		"served":  {served, false, []string{`"level":"INFO"`, `"status":200`, "result=answered"}},
+		"late":    {slow, false, []string{`"level":"WARN"`, `"status":200`, `"targetMs":50`, "expectedMs=", "ageMs=", "result=answered"}},
+		"refused": {nil, true, []string{`"level":"WARN"`, `"status":503`, `"outcome":"noRoom"`, `"decidedBy":"owner"`, `"retryAfterMs":120`, "listed=3 out=1 tried=0 cold=0 dead=0 full=2 waiting=7"}},
+		"unknown": {lost, false, []string{`"level":"WARN"`, `"status":502`, `"outcome":"no complete response"`, "result=unknown", "error="}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var out strings.Builder
+			f := newFixture(t, map[string]answer{"a": c.a})
+			f.grants.none = c.none
+			f.deps.Log = slog.New(slog.NewJSONHandler(&out, nil))
+			f.request("/once/x", "")
+			for _, word := range append(c.words, `"msg":"request"`, `"id":"1"`, `"configuration":1`) {
+				if !strings.Contains(out.String(), word) {
+					t.Errorf("no %s in %s", word, out.String())
+				}
+			}
+		})
+	}
+}
+
 // Guards against headers that are lost, invented, or passed on although they concern one connection only.
 func TestHeaders(t *testing.T) {
 	f := newFixture(t, map[string]answer{"a": func(_ context.Context, r *pool.Request) (*pool.Response, error) {
--- a/sardinegate/entry/run.go
+++ b/sardinegate/entry/run.go
@@ -186,7 +186,7 @@
 	g := h.deps.Grants.Ask(ctx, ask, c.seconds)
 	if g.Upstream == "" {
 		o := refuse(http.StatusServiceUnavailable, g.Reason.String(), g.RetryAfter)
-		o.by = g.By
+		o.by, o.census = g.By, g.Census
 		return o
 	}
 	return h.send(ctx, c, ended, g, hedge)
