--- a/proofs/gate_test.go
+++ b/proofs/gate_test.go
@@ -63,13 +63,18 @@
 	return s
 }
 
-func (s *gateSite) startGate(h *gateHost) {
-	text := strings.Join([]string{
-		"node=" + h.id, "zone=" + h.zone, "ip=" + h.ip, "unknown.field=1",
-		"listen.front=" + h.ip + ":8080", "listen.ready=" + h.ip + ":8081", "listen.directory=" + h.ip + ":8082",
-		"internal-port-range=7540,7555", "seeds=", "platform.addr=" + s.logAddr(),
+// gateSettings returns a host's settings file of the platform.
+func gateSettings(id, zone, ip, store string) string {
+	return strings.Join([]string{
+		"node=" + id, "zone=" + zone, "ip=" + ip, "unknown.field=1",
+		"listen.front=" + ip + ":8080", "listen.ready=" + ip + ":8081", "listen.directory=" + ip + ":8082",
+		"internal-port-range=7540,7555", "seeds=", "platform.addr=" + store,
 		"bounds=grace-s=6,ttl_max_s=5,retry-budget-ratio=0.2,retry-window-s=10,retry-slack=50,probes-per-s=60",
 	}, "\n")
+}
+
+func (s *gateSite) startGate(h *gateHost) {
+	text := gateSettings(h.id, h.zone, h.ip, s.logAddr())
 	path := s.path(h.id + ".conf")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
--- a/sardinegate/broker/broker.go
+++ b/sardinegate/broker/broker.go
@@ -133,8 +133,12 @@
 func (b *Broker) owner(now time.Duration, service string) string {
 	o := b.orders[service]
 	if now >= o.until {
+		before := o.hosts
 		o = ownerOrder{b.deps.Node.Order(service, b.deps.Leaving()), now + orderFor}
 		b.orders[service] = o
+		if len(o.hosts) > 0 && (len(before) == 0 || before[0] != o.hosts[0]) {
+			b.deps.Log.Info("owner changed", "service", service, "owner", o.hosts[0], "hosts", len(o.hosts))
+		}
 	}
 	for _, host := range o.hosts {
 		if now >= b.suspect[host] {
--- a/sardinegate/broker/probe.go
+++ b/sardinegate/broker/probe.go
@@ -93,6 +93,9 @@
 	defer b.mu.Unlock()
 	p.running = false
 	if err != nil {
+		if probing.Err() != nil {
+			err = fmt.Errorf("no response within %v: %w", probeTimeout, probing.Err())
+		}
 		b.lose(ctx, p, u, err.Error())
 		return
 	}
--- a/sardinegate/mesh/mesh.go
+++ b/sardinegate/mesh/mesh.go
@@ -40,6 +40,8 @@
 	boot                      int64
 	addr                      netip.AddrPort
 	heard                     time.Duration
+	// lost is set once the loss of the host was logged.
+	lost bool
 }
 
 // Handler takes the messages of other hosts; it must not block.
@@ -137,6 +139,10 @@
 	n.mu.Lock()
 	var to []netip.AddrPort
 	for host, m := range n.members {
+		if !m.lost && !n.alive(m) {
+			m.lost = true
+			n.log.Warn("host lost", "host", host, "dataCentre", m.DataCentre, "silentMs", (now - m.heard).Milliseconds())
+		}
 		if now-m.heard > forgetAfter {
 			delete(n.members, host)
 			continue
@@ -245,14 +251,19 @@
 		member = &Member{Host: m.From}
 		n.members[m.From] = member
 	}
-	member.boot, member.addr, member.heard = m.Boot, from, n.now()
+	changed := false
+	member.boot, member.addr, member.heard, member.lost = m.Boot, from, n.now(), false
 	if b := m.Beat; b != nil {
+		changed = !fresh && (member.Leaving != b.Leaving || member.Ready != b.Ready)
 		member.DataCentre, member.Callers = b.DataCentre, b.Callers
 		member.Leaving, member.Ready = b.Leaving, b.Ready
 		member.Operators, member.List = b.Operators, b.List
 	}
 	delete(n.strangers, from)
 	n.mu.Unlock()
+	if changed {
+		n.log.Info("host changed", "host", m.From, "ready", m.Beat.Ready, "leaving", m.Beat.Leaving)
+	}
 	if fresh {
 		n.log.Info("host is alive", "host", m.From, "boot", m.Boot)
 		beat := (*n.status.Load())()
--- a/sardinegate/mesh/mesh_test.go
+++ b/sardinegate/mesh/mesh_test.go
@@ -4,6 +4,8 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -67,6 +69,55 @@
 	eventually(t, "the death", func() bool { return len(a.Alive()) == 0 })
 }
 
+// Guards against a host whose leaving and loss nobody can tell from the log, and against a line for each beat.
+func TestLossOfAHostIsLogged(t *testing.T) {
+	p := port(t)
+	var out lockedBuffer
+	a, err := Listen(Self{Host: "a", Listen: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), p), Boot: 1}, slog.New(slog.NewTextHandler(&out, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.Start(ready, ignore)
+	defer a.Close()
+	var leaving atomic.Bool
+	b := start(t, "b", "127.0.0.2", p, 1, func() Beat { return Beat{Ready: true, Leaving: leaving.Load()} }, ignore)
+	b.Introduce(netip.MustParseAddr("127.0.0.1"))
+	b.Beat()
+	for _, step := range []struct {
+		do   func()
+		line string
+	}{
+		{func() {}, `msg="host is alive" host=b`},
+		{func() { leaving.Store(true); b.Beat() }, `msg="host changed" host=b ready=true leaving=true`},
+		{b.Close, `msg="host lost" host=b`},
+	} {
+		step.do()
+		eventually(t, step.line, func() bool { return strings.Contains(out.String(), step.line) })
+	}
+	time.Sleep(2 * beatEvery)
+	if n := strings.Count(out.String(), "msg="); n != 3 {
+		t.Errorf("%d lines:\n%s", n, out.String())
+	}
+}
+
+// lockedBuffer is a buffer that goroutines share.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
 // Guards against messages of a former lifetime that arrive late, and against bytes that are no message.
 func TestFormerLifetimeAndGarbage(t *testing.T) {
 	p := port(t)
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -58,6 +58,7 @@
 	mu       sync.Mutex
 	draining bool
 	dropping bool
+	work     time.Duration
 }
 
 var _ http.Handler = (*Server)(nil)
@@ -72,6 +73,7 @@
 		born:  time.Now().UnixMilli(),
 		slots: make(chan struct{}, cfg.Slots),
 		stop:  make(chan struct{}),
+		work:  cfg.Work,
 	}
 	s.done.Go(func() {
 		t := time.NewTicker(beatEvery)
@@ -113,17 +115,24 @@
 	s.dropping = on
 }
 
-func (s *Server) state() (state string, dropping bool) {
+// SetWork changes how long the upstream works on a request.
+func (s *Server) SetWork(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.work = d
+}
+
+func (s *Server) state() (state string, dropping bool, work time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining {
-		return "draining", s.dropping
+		return "draining", s.dropping, s.work
 	}
-	return "ready", s.dropping
+	return "ready", s.dropping, s.work
 }
 
 func (s *Server) report(seq int64) {
-	state, _ := s.state()
+	state, _, _ := s.state()
 	entry, err := json.Marshal(map[string]any{
 		"service": s.cfg.Service, "addr": s.cfg.Addr, "zone": s.cfg.Zone, "version": "v1", "slots": s.cfg.Slots,
 		"state": state, "cold-left-s": 0, "seq": seq, "born": s.born,
@@ -138,7 +147,7 @@
 	w.Header().Set("Server-Load", fmt.Sprintf("%d,%d,%d,100", s.running.Load(), s.waiting.Load(), s.cfg.Slots))
 	if r.URL.Path == "/health" {
 		w.Header().Set("Instance-Id", s.id)
-		if state, _ := s.state(); state != "ready" {
+		if state, _, _ := s.state(); state != "ready" {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
@@ -169,12 +178,13 @@
 		<-s.slots
 	}()
 	s.cfg.Ran(Run{ID: id, Upstream: s.id, Service: s.cfg.Service, Path: r.RequestURI, Method: r.Method, At: time.Now()})
+	_, dropping, work := s.state()
 	select {
-	case <-time.After(s.cfg.Work):
+	case <-time.After(work):
 	case <-r.Context().Done():
 		return
 	}
-	if _, dropping := s.state(); dropping {
+	if dropping {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Response-Signature", Signature(id))
--- a/standin/users/users.go
+++ b/standin/users/users.go
@@ -175,6 +175,8 @@
 	Prefixes []string
 	// Out and Back are zones to take out of service and back.
 	Out, Back string
+	// WorkMS is how long all upstreams work on a request from now on, in milliseconds.
+	WorkMS int
 	// Drain, Crash and Drop are IDs of upstreams.
 	Drain, Crash, Drop string
 	// Add is a service that gets a further upstream in the first zone.
@@ -221,6 +223,13 @@
 	if c.Back != "" {
 		s.store.Put("keyed.op", "evacuate/"+c.Back, nil)
 	}
+	if c.WorkMS > 0 {
+		s.mu.Lock()
+		for _, u := range s.upstreams {
+			u.SetWork(time.Duration(c.WorkMS) * time.Millisecond)
+		}
+		s.mu.Unlock()
+	}
 	if c.Add != "" {
 		return s.add(c.Add, zones[0])
 	}
