--- a/sardinegate/gate.go
+++ b/sardinegate/gate.go
@@ -34,7 +34,7 @@
 	probesPerSecond = 14.0
 	// crossCost and bulkCrossCost are what an upstream in another data centre costs, as a share of a response time.
 	crossCost     = 0.5
-	bulkCrossCost = 2.2
+	bulkCrossCost = 4.0
 	// addressLifetime is how long callers keep addresses.
 	addressLifetime = 2 * time.Second
 	// fewLocal is the number of hosts in a data centre below which its callers also get hosts elsewhere.
