--- a/sardinectl/command.go
+++ b/sardinectl/command.go
@@ -6,18 +6,15 @@
 	"flag"
 	"fmt"
 	"io"
-	"runtime/debug"
 	"strings"
 	"time"
 
+	"sardinecross.example/lib/common/prog"
 	"sardinecross.example/lib/config"
 )
 
-// Exit codes.
+// Exit codes beside those of all programs.
 const (
-	exitDone     = 0
-	exitFailed   = 1
-	exitUsage    = 2
 	exitConflict = 3
 	exitUnknown  = 4
 )
@@ -45,7 +42,7 @@
 func (t *tool) run(ctx context.Context, args []string) int {
 	err := t.dispatch(ctx, args)
 	if err == nil || errors.Is(err, flag.ErrHelp) {
-		return exitDone
+		return prog.Done
 	}
 	_, _ = fmt.Fprintln(t.stderr, "sardinectl:", err)
 	return exitCode(err)
@@ -61,13 +58,13 @@
 	)
 	switch {
 	case errors.As(err, &usage), errors.As(err, &file), errors.As(err, &mistakes):
-		return exitUsage
+		return prog.Usage
 	case errors.As(err, &conflict):
 		return exitConflict
 	case errors.As(err, &unknown):
 		return exitUnknown
 	default:
-		return exitFailed
+		return prog.Failed
 	}
 }
 
@@ -79,7 +76,7 @@
 		return err
 	}
 	if *version {
-		_, err := fmt.Fprintln(t.stdout, versionText())
+		_, err := fmt.Fprintln(t.stdout, prog.Version("sardinectl"))
 		return err
 	}
 	rest := flags.Args()
@@ -112,7 +109,7 @@
 		rest = flags.Args()[1:]
 	}
 	if *version {
-		_, err := fmt.Fprintln(t.stdout, versionText())
+		_, err := fmt.Fprintln(t.stdout, prog.Version("sardinectl"))
 		return err
 	}
 	if len(operands) != c.operands {
@@ -174,19 +171,6 @@
 	}
 }
 
-func versionText() string {
-	version := "unknown"
-	if info, ok := debug.ReadBuildInfo(); ok {
-		version = info.Main.Version
-		for _, s := range info.Settings {
-			if s.Key == "vcs.revision" {
-				version = s.Value
-			}
-		}
-	}
-	return "sardinectl " + version
-}
-
 // operator reads the settings of the tool.
 func (t *tool) operator() (config.Operator, error) {
 	if t.settings == "" {
--- a/sardined/daemon.go
+++ b/sardined/daemon.go
@@ -12,6 +12,7 @@
 
 	"sardinecross.example/lib/applog"
 	"sardinecross.example/lib/common/ident"
+	"sardinecross.example/lib/common/prog"
 	"sardinecross.example/lib/config"
 	"sardinecross.example/lib/core"
 	"sardinecross.example/lib/roster"
@@ -217,7 +218,7 @@
 func exitCode(err error) int {
 	var id *peer.IdentityError
 	if errors.As(err, &id) {
-		return exitUsage
+		return prog.Usage
 	}
-	return exitFailed
+	return prog.Failed
 }
--- a/sardined/main.go
+++ b/sardined/main.go
@@ -2,25 +2,17 @@
 package main
 
 import (
-	"errors"
 	"flag"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
+	"sardinecross.example/lib/common/prog"
 	"sardinecross.example/lib/config"
 )
 
-// Exit codes.
-const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
 // run is the program without the process around it.
@@ -29,25 +21,22 @@
 	flags.SetOutput(stderr)
 	file := flags.String("settings", "", "settings `FILE` (JSON with comments)")
 	version := flags.Bool("version", false, "print the version and exit")
-	if err := flags.Parse(args); err != nil {
-		if errors.Is(err, flag.ErrHelp) {
-			return exitDone
-		}
-		return exitUsage
+	if code, ended := prog.Parse(flags, args); ended {
+		return code
 	}
 	if *version {
-		_, _ = fmt.Fprintln(stdout, versionText())
-		return exitDone
+		_, _ = fmt.Fprintln(stdout, prog.Version("sardined"))
+		return prog.Done
 	}
 	if *file == "" || flags.NArg() > 0 {
 		_, _ = fmt.Fprintln(stderr, "sardined: -settings FILE is required and takes no further arguments")
 		flags.Usage()
-		return exitUsage
+		return prog.Usage
 	}
 	settings, err := config.LoadDaemon(*file)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
-		return exitUsage
+		return prog.Usage
 	}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
@@ -58,18 +47,5 @@
 		return exitCode(err)
 	}
 	d.serve(stop)
-	return exitDone
-}
-
-func versionText() string {
-	version := "unknown"
-	if info, ok := debug.ReadBuildInfo(); ok {
-		version = info.Main.Version
-		for _, s := range info.Settings {
-			if s.Key == "vcs.revision" {
-				version = s.Value
-			}
-		}
-	}
-	return "sardined " + version
+	return prog.Done
 }
--- a/sardinegate/main.go
+++ b/sardinegate/main.go
@@ -2,7 +2,6 @@
 package main
 
 import (
-	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -11,16 +10,10 @@
 	"runtime/debug"
 	"syscall"
 
+	"sardinecross.example/lib/common/prog"
 	"sardinecross.example/platform"
 )
 
-// Exit codes.
-const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 // gcPercent lets the heap grow more between collections: the live heap is small, and collections cost processor time.
 const gcPercent = 200
 
@@ -31,27 +24,29 @@
 	flags := flag.NewFlagSet("sardinegate", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	path := flags.String("settings", platform.SettingsPath(), "settings `FILE` of the platform")
+	version := flags.Bool("version", false, "print the version and exit")
 	check := flags.Bool("check", false, "check the settings and exit")
 	quiet := flags.Bool("quiet", false, "log warnings and errors only")
-	if err := flags.Parse(args); err != nil {
-		if errors.Is(err, flag.ErrHelp) {
-			return exitDone
-		}
-		return exitUsage
+	if code, ended := prog.Parse(flags, args); ended {
+		return code
+	}
+	if *version {
+		_, _ = fmt.Fprintln(stdout, prog.Version("sardinegate"))
+		return prog.Done
 	}
 	if *path == "" || flags.NArg() > 0 {
 		_, _ = fmt.Fprintln(stderr, "sardinegate: -settings FILE is required and takes no further arguments")
 		flags.Usage()
-		return exitUsage
+		return prog.Usage
 	}
 	settings, err := platform.LoadSettings(*path)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, "sardinegate:", err)
-		return exitUsage
+		return prog.Usage
 	}
 	if *check {
 		_, _ = fmt.Fprintf(stdout, "%s: settings of host %s are valid\n", *path, settings.Host)
-		return exitDone
+		return prog.Done
 	}
 	debug.SetGCPercent(gcPercent)
 	signals := make(chan os.Signal, 4)
@@ -60,8 +55,8 @@
 	g, err := newGate(settings, *path, stdout, *quiet)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, "sardinegate:", err)
-		return exitFailed
+		return prog.Failed
 	}
 	g.serve(signals)
-	return exitDone
+	return prog.Done
 }
--- a/sardineload/main.go
+++ b/sardineload/main.go
@@ -15,18 +15,12 @@
 	"syscall"
 	"time"
 
+	"sardinecross.example/lib/common/prog"
 	"sardinecross.example/lib/config"
 	"sardinecross.example/sardineload/plan"
 	"sardinecross.example/sardineload/tally"
 )
 
-// Exit codes.
-const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 const usage = `usage: sardineload -settings FILE [flags]
        sardineload -entry IP:PORT[,IP:PORT...] -class NAME [-rate N] [-kind plain|issued|key|neither] [flags]
 flags: -duration D  -seed N  -upstreams IP:PORT  -csv FILE  -json  -direct  -allow-other
@@ -67,11 +61,11 @@
 func execute(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	opt, err := parse(args, stderr)
 	if err != nil {
-		return exitUsage
+		return prog.Usage
 	}
 	cfg, err := settings(opt)
 	if err != nil {
-		return report(stderr, err, exitUsage)
+		return report(stderr, err, prog.Usage)
 	}
 	l := newLoad(cfg, opt)
 	err = l.run(ctx)
@@ -80,12 +74,12 @@
 		err = write(l, opt, stdout)
 	}
 	if err != nil {
-		return report(stderr, err, exitFailed)
+		return report(stderr, err, prog.Failed)
 	}
 	if !summary.OK() {
-		return exitFailed
+		return prog.Failed
 	}
-	return exitDone
+	return prog.Done
 }
 
 func report(stderr io.Writer, err error, code int) int {
--- a/sardineload/main_test.go
+++ b/sardineload/main_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"strings"
 	"testing"
+
+	"sardinecross.example/lib/common/prog"
 )
 
 // A load that cannot be sent as asked, or that would leave this machine, must not start.
@@ -22,7 +24,7 @@
 		t.Run(name, func(t *testing.T) {
 			var stdout, stderr strings.Builder
 			code := execute(context.Background(), strings.Fields(c.args), &stdout, &stderr)
-			if code != exitUsage || !strings.Contains(stderr.String(), c.stderr) {
+			if code != prog.Usage || !strings.Contains(stderr.String(), c.stderr) {
 				t.Errorf("code %d, %s; want %s", code, stderr.String(), c.stderr)
 			}
 		})
@@ -33,7 +35,7 @@
 func TestNeverServed(t *testing.T) {
 	var stdout, stderr strings.Builder
 	args := strings.Fields("-entry 127.0.0.1:1 -class a -duration 50ms -rate 100")
-	if code := execute(context.Background(), args, &stdout, &stderr); code != exitFailed || !strings.Contains(stdout.String(), "never served") {
+	if code := execute(context.Background(), args, &stdout, &stderr); code != prog.Failed || !strings.Contains(stdout.String(), "never served") {
 		t.Errorf("code %d, %s%s", code, stdout.String(), stderr.String())
 	}
 }
--- a/standin/callers.go
+++ b/standin/callers.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"sardinecross.example/lib/common/prog"
 	"sardinecross.example/standin/caller"
 	"sardinecross.example/standin/users"
 )
@@ -50,7 +51,7 @@
 		fmt.Fprintln(stderr, err) //nolint:errcheck // nowhere to report it
 		return exitCode(err)
 	}
-	return exitDone
+	return prog.Done
 }
 
 func parseCallers(args []string) (caller.Settings, callerOptions, error) {
--- a/standin/main.go
+++ b/standin/main.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"syscall"
 
+	"sardinecross.example/lib/common/prog"
 	"sardinecross.example/lib/config"
 	"sardinecross.example/standin/hosts"
 	"sardinecross.example/standin/record"
@@ -21,13 +22,6 @@
 	"sardinecross.example/standin/worker"
 )
 
-// Exit codes.
-const (
-	exitDone   = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 const usage = `usage: standin log|hosts|upstreams -settings FILE
        standin log -listen IP:PORT -control IP:PORT [-rate N]
        standin hosts -listen IP:PORT -control IP:PORT
@@ -66,14 +60,14 @@
 func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	if len(args) == 0 {
 		fmt.Fprint(stderr, usage) //nolint:errcheck // nowhere to report it
-		return exitUsage
+		return prog.Usage
 	}
 	if args[0] == "callers" {
 		return runCallers(ctx, args[1:], stdout, stderr)
 	}
 	opt, err := parse(args[0], args[1:], stderr)
 	if err != nil {
-		return exitUsage
+		return prog.Usage
 	}
 	s, err := start(args[0], opt)
 	if err != nil {
@@ -83,7 +77,7 @@
 	fmt.Fprintln(stdout, "ready") //nolint:errcheck // the reader may have gone
 	<-ctx.Done()
 	s.Close()
-	return exitDone
+	return prog.Done
 }
 
 func parse(name string, args []string, stderr io.Writer) (options, error) {
@@ -113,9 +107,9 @@
 	var mistakes *config.Mistakes
 	var file *config.FileError
 	if errors.As(err, &use) || errors.As(err, &mistakes) || errors.As(err, &file) {
-		return exitUsage
+		return prog.Usage
 	}
-	return exitFailed
+	return prog.Failed
 }
 
 func start(name string, opt options) (standin, error) {
