--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := lib platform sardined sardinectl sardinegate sardineload standin proofs
+MODULES := lib platform sardinebench sardined sardinectl sardinegate sardineload standin proofs
 PROGRAMS := sardined sardinectl sardinegate sardineload standin
 LINT := bin/golangci-lint
 LINT_VERSION := v2.15.0
@@ -30,17 +30,17 @@
 
 # Measures against targets and baselines; results are in out/ and, as recorded, in docs/measurements.md.
 bench: build
-	cd proofs && go test -tags bench -run 'TestBench$$' -count=1 -v -timeout 16m .
+	cd sardinebench && go run . policies
 
 bench-quick: build
-	cd proofs && SARDINE_BENCH=quick go test -tags bench -run 'TestBench$$' -count=1 -v -timeout 2m .
+	cd sardinebench && go run . -quick policies
 
 model:
 	spec/check
 
 # Prints the measured points behind docs/CAPACITY.md; no part of make test.
 slopes: build
-	cd proofs && go test -tags slopes -run TestSlopes -count=1 -v -timeout 15m .
+	cd sardinebench && go run . slopes
 
 test: lint unit model proofs
 
--- a/proofs/answers_test.go
+++ b/proofs/answers_test.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"sardinecross.example/proofs/site"
 )
 
 // TestWholeAnswers guards against short answers passed off as whole and against answers to another request, with upstreams
@@ -20,18 +22,18 @@
 	t.Parallel()
 	holds(t, wholeAnswers, "truncated", "crossed", "late", "truncated and late", "caller leaves", "slow caller of a large answer",
 		"answer above the memory limit")
-	s := newSite(t, layout{
-		dataCentres: []string{"passau", "landshut"}, hostsEach: 1, workers: map[string]int{"enquiry": 2, "booking": 1}, warm: true,
+	s := newSite(t, site.Layout{
+		DataCentres: []string{"passau", "landshut"}, HostsEach: 1, Workers: map[string]int{"enquiry": 2, "booking": 1}, Warm: true,
 	})
 	g := &getter{s: s, t: t, client: &http.Client{}}
-	s.wait("requests to be served", func() bool { return g.get("first", 100) })
+	s.Wait("requests to be served", func() bool { return g.get("first", 100) })
 	for _, fault := range []string{
 		`{"truncated": {"probability": 0.3}}`,
 		`{"crossed": {"probability": 0.3}}`,
 		`{"late": {"probability": 0.2}, "lateBy": "1500ms"}`,
 		`{"truncated": {"probability": 0.3}, "late": {"probability": 0.2}, "lateBy": "300ms"}`,
 	} {
-		s.control(s.fleetControl(), `{"service": "enquiry", "clear": true, "faults": `+fault+`}`)
+		s.Control(s.FleetControl(), `{"service": "enquiry", "clear": true, "faults": `+fault+`}`)
 		g.flood(8, 40)
 	}
 	clearUpstreams(s)
@@ -49,15 +51,15 @@
 
 // getter sends consultations and checks their answers.
 type getter struct {
-	s                     *site
+	s                     *proof
 	t                     *testing.T
 	client                *http.Client
 	whole, visible, wrong atomic.Int64
 }
 
 func (g *getter) request(ctx context.Context, number string, size int) *http.Request {
-	h := g.s.hosts[len(number)%len(g.s.hosts)]
-	url := fmt.Sprintf("http://%s/v1/classes/consultations/item?number=%s&bytes=%d", h.callers, number, size)
+	h := g.s.Hosts[len(number)%len(g.s.Hosts)]
+	url := fmt.Sprintf("http://%s/v1/classes/consultations/item?number=%s&bytes=%d", h.Callers, number, size)
 	req, _ := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	return req
 }
@@ -133,7 +135,7 @@
 		if err != nil {
 			return
 		}
-		after(time.Millisecond)
+		site.After(time.Millisecond)
 	}
 }
 
@@ -143,57 +145,57 @@
 	t.Parallel()
 	holds(t, coldStart, "site starts cold", "host killed", "host restarted", "host frozen", "links cut one way",
 		"links cut both ways", "two halves cut from each other", "host killed while links are cut", "upstreams turn cold under load")
-	s := newSite(t, layout{
-		dataCentres: []string{"passau"}, hostsEach: 4, workers: map[string]int{"enquiry": 3, "booking": 2}, links: true,
+	s := newSite(t, site.Layout{
+		DataCentres: []string{"passau"}, HostsEach: 4, Workers: map[string]int{"enquiry": 3, "booking": 2}, Links: true,
 		// An odd number, so that two halves of the hosts cannot have equal shares.
-		slots: 3,
+		Slots: 3,
 	})
 	tr := s.traffic(load{orders: 10, consultations: 14, pause: time.Millisecond})
 	progress := func(what string) {
 		t.Helper()
 		before := tr.count("consultations", served)
-		s.wait("consultations to be served after "+what, func() bool { return tr.count("consultations", served) > before+200 })
+		s.Wait("consultations to be served after "+what, func() bool { return tr.count("consultations", served) > before+200 })
 	}
 	progress("start")
-	s.kill(s.hosts[0])
+	s.Kill(s.Hosts[0])
 	progress("a host was killed")
-	s.start(s.hosts[0])
+	s.Start(s.Hosts[0])
 	progress("a host was restarted")
-	s.hosts[1].signal(syscall.SIGSTOP)
+	s.Hosts[1].Signal(syscall.SIGSTOP)
 	progress("a host was frozen")
-	s.hosts[1].signal(syscall.SIGCONT)
+	s.Hosts[1].Signal(syscall.SIGCONT)
 	progress("a host was resumed")
-	link := func(a, b int) *udpLink { return s.pairs[[2]string{s.hosts[a].id, s.hosts[b].id}] }
-	link(0, 1).forward.Store(true)
-	link(1, 2).backward.Store(true)
-	after(2 * time.Second)
+	link := func(a, b int) *site.UDPLink { return s.Pairs[[2]string{s.Hosts[a].ID, s.Hosts[b].ID}] }
+	link(0, 1).Forward.Store(true)
+	link(1, 2).Backward.Store(true)
+	site.After(2 * time.Second)
 	progress("links were cut one way")
 	for _, pair := range [][2]int{{0, 2}, {0, 3}, {1, 2}, {1, 3}} {
-		link(pair[0], pair[1]).both(true)
+		link(pair[0], pair[1]).Both(true)
 	}
-	link(0, 1).both(false)
-	link(2, 3).both(false)
-	after(5 * time.Second)
+	link(0, 1).Both(false)
+	link(2, 3).Both(false)
+	site.After(5 * time.Second)
 	progress("two halves were cut from each other")
-	link(0, 3).both(false)
-	link(1, 2).both(false)
-	link(0, 2).both(true)
-	link(1, 3).both(true)
-	after(2 * time.Second)
-	s.kill(s.hosts[3])
+	link(0, 3).Both(false)
+	link(1, 2).Both(false)
+	link(0, 2).Both(true)
+	link(1, 3).Both(true)
+	site.After(2 * time.Second)
+	s.Kill(s.Hosts[3])
 	progress("a host was killed while links were cut")
-	for _, l := range s.pairs {
-		l.both(false)
+	for _, l := range s.Pairs {
+		l.Both(false)
 	}
-	s.start(s.hosts[3])
+	s.Start(s.Hosts[3])
 	progress("the links were mended")
 	s.checkSlots(t)
-	s.control(s.fleetControl(), `{"dataCentre": "passau", "cold": true}`)
+	s.Control(s.FleetControl(), `{"dataCentre": "passau", "cold": true}`)
 	progress("upstreams turned cold")
 	tr.stop()
 	tr.checkOrders(t)
 	// Work in flight when an upstream turns cold cannot be called back; it never passes the slots.
-	for _, w := range s.workers() {
+	for _, w := range s.Workers() {
 		if w.GreatestInFlight > w.Slots {
 			t.Errorf("%s had %d in flight with %d slots", w.ID, w.GreatestInFlight, w.Slots)
 		}
@@ -205,25 +207,25 @@
 func TestMeasuringBudget(t *testing.T) {
 	t.Parallel()
 	holds(t, measuring, "many hosts", "host restarted", "upstreams close connections", "idle upstreams", "ownership moves")
-	s := newSite(t, layout{
-		dataCentres: []string{"passau"}, hostsEach: 6, workers: map[string]int{"enquiry": 3, "booking": 2}, warm: true,
+	s := newSite(t, site.Layout{
+		DataCentres: []string{"passau"}, HostsEach: 6, Workers: map[string]int{"enquiry": 3, "booking": 2}, Warm: true,
 	})
 	tr := s.traffic(load{consultations: 16, orders: 2, pause: 2 * time.Millisecond})
 	begun := time.Now()
-	s.wait("traffic", func() bool { return tr.count("consultations", served) > 100 })
-	for _, h := range s.hosts[:3] {
-		s.kill(h)
-		after(1500 * time.Millisecond)
-		s.start(h)
-		after(1500 * time.Millisecond)
-	}
-	s.control(s.fleetControl(), `{"service": "enquiry", "faults": {"runThenClose": {"probability": 0.5}}}`)
-	after(6 * time.Second)
+	s.Wait("traffic", func() bool { return tr.count("consultations", served) > 100 })
+	for _, h := range s.Hosts[:3] {
+		s.Kill(h)
+		site.After(1500 * time.Millisecond)
+		s.Start(h)
+		site.After(1500 * time.Millisecond)
+	}
+	s.Control(s.FleetControl(), `{"service": "enquiry", "faults": {"runThenClose": {"probability": 0.5}}}`)
+	site.After(6 * time.Second)
 	clearUpstreams(s)
 	tr.stop()
-	after(6 * time.Second)
+	site.After(6 * time.Second)
 	elapsed := time.Since(begun)
-	for _, w := range s.workers() {
+	for _, w := range s.Workers() {
 		spent := time.Duration((w.ProbeTime + w.ConnectionTime) * float64(time.Millisecond))
 		// The budget of 1 % may be saved up for 10 s.
 		allowed := elapsed/100 + 100*time.Millisecond
--- a/proofs/caller_test.go
+++ b/proofs/caller_test.go
@@ -16,19 +16,28 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
+
+	"sardinecross.example/proofs/site"
 )
 
+// proof is a site whose promises are checked under faults.
+type proof struct{ *site.Site }
+
+// newSite starts a site and waits until it serves all classes.
+func newSite(t *testing.T, l site.Layout) *proof {
+	t.Helper()
+	return &proof{site.New(t, l)}
+}
+
 // outcome is what a caller learned about one request.
-type outcome int
+type outcome = site.Outcome
 
 const (
-	served outcome = iota + 1
-	notRun
-	unknown
+	served  = site.Served
+	notRun  = site.NotRun
+	unknown = site.Unknown
 )
 
-func (o outcome) String() string { return [...]string{"", "served", "notRun", "unknown"}[o] }
-
 // kind is how an order is protected against running twice.
 type kind int
 
@@ -49,7 +58,7 @@
 
 // traffic is load from several callers until stop; it keeps the history of all orders.
 type traffic struct {
-	s      *site
+	s      *proof
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 	client *http.Client
@@ -77,7 +86,7 @@
 	direct                []string
 }
 
-func (s *site) traffic(l load) *traffic {
+func (s *proof) traffic(l load) *traffic {
 	ctx, cancel := context.WithCancel(context.Background())
 	tr := &traffic{
 		s: s, cancel: cancel, begun: time.Now(), direct: l.direct,
@@ -91,7 +100,7 @@
 			c := &caller{tr: tr, rng: rand.New(rand.NewPCG(7, uint64(i))), seed: i}
 			for ctx.Err() == nil {
 				if tr.frozen.Load() {
-					after(5 * time.Millisecond)
+					site.After(5 * time.Millisecond)
 					continue
 				}
 				if i < l.orders {
@@ -99,11 +108,11 @@
 				} else {
 					c.consult()
 				}
-				after(l.pause)
+				site.After(l.pause)
 			}
 		}()
 	}
-	s.t.Cleanup(tr.stop)
+	s.T.Cleanup(tr.stop)
 	return tr
 }
 
@@ -145,7 +154,7 @@
 	if len(c.hosts) > 0 && time.Now().Before(c.expires) {
 		return c.hosts
 	}
-	all := c.tr.s.hosts
+	all := c.tr.s.Hosts
 	for i := range all {
 		h := all[(i+c.seed)%len(all)]
 		var answer struct {
@@ -154,7 +163,7 @@
 			} `json:"hosts"`
 			ValidFor string `json:"validFor"`
 		}
-		if err := getJSON("http://"+h.callers+"/v1/hosts?class="+class, &answer); err != nil || len(answer.Hosts) == 0 {
+		if err := site.GetJSON("http://"+h.Callers+"/v1/hosts?class="+class, &answer); err != nil || len(answer.Hosts) == 0 {
 			continue
 		}
 		valid, _ := time.ParseDuration(answer.ValidFor)
@@ -184,7 +193,7 @@
 		}
 		header.Set("X-Request-Id", id)
 	case withKey:
-		header.Set("Idempotency-Key", fmt.Sprintf("order-%d-%s", c.tr.s.n, number))
+		header.Set("Idempotency-Key", fmt.Sprintf("order-%d-%s", c.tr.s.N, number))
 	}
 	final := notRun
 	for i := range 4 {
@@ -242,7 +251,7 @@
 func (c *caller) try(class, number string, header http.Header, record func(time.Time, outcome, string)) outcome {
 	addrs := c.addresses(class)
 	if len(addrs) == 0 {
-		after(10 * time.Millisecond)
+		site.After(10 * time.Millisecond)
 		return notRun
 	}
 	addr := addrs[c.rng.IntN(min(len(addrs), 3))]
@@ -312,7 +321,7 @@
 // and one that was only ever "not run" did not. It uses porcupine with one small object for each order.
 func (tr *traffic) checkOrders(t *testing.T) {
 	t.Helper()
-	runs := tr.s.runs()
+	runs := tr.s.Runs()
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	var ops []porcupine.Operation
@@ -403,9 +412,9 @@
 }
 
 // checkSlots checks that no upstream ever had more in flight than it bears.
-func (s *site) checkSlots(t *testing.T) {
+func (s *proof) checkSlots(t *testing.T) {
 	t.Helper()
-	for _, w := range s.workers() {
+	for _, w := range s.Workers() {
 		if w.GreatestInFlight > w.Slots {
 			t.Errorf("%s had %d in flight with %d slots", w.ID, w.GreatestInFlight, w.Slots)
 		}
--- a/proofs/examples_test.go
+++ b/proofs/examples_test.go
@@ -4,12 +4,14 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"sardinecross.example/proofs/site"
 )
 
 // TestExamples guards against example settings and commands of the pages that the programs no longer accept.
 func TestExamples(t *testing.T) {
 	t.Parallel()
-	s := &site{t: t, dir: t.TempDir()}
+	s := &site.Site{T: t, Dir: t.TempDir()}
 	files, err := filepath.Glob("../examples/*.jsonc")
 	if err != nil || len(files) == 0 {
 		t.Fatalf("examples: %v, %v", files, err)
@@ -19,17 +21,17 @@
 		if strings.Contains(f, "operator") {
 			program = "sardinectl"
 		}
-		s.ctl("settings", "check", "-program", program, f).ok()
+		s.Ctl("settings", "check", "-program", program, f).OK()
 	}
 	for _, command := range []string{
 		"class set", "class list", "out", "back", "status", "settings check", "keys ca", "keys host",
 	} {
-		r := s.ctl(append(strings.Fields(command), "--help")...).ok()
-		if !strings.Contains(string(r.out)+r.errs, "Examples:") {
+		r := s.Ctl(append(strings.Fields(command), "--help")...).OK()
+		if !strings.Contains(string(r.Out)+r.Errs, "Examples:") {
 			t.Errorf("sardinectl %s --help shows no examples", command)
 		}
 	}
-	if r := s.ctl("settings", "check", "-program", "sardined", "../examples/operator.jsonc"); r.code != 2 {
-		t.Errorf("settings of another program were accepted with code %d, want 2", r.code)
+	if r := s.Ctl("settings", "check", "-program", "sardined", "../examples/operator.jsonc"); r.Code != 2 {
+		t.Errorf("settings of another program were accepted with code %d, want 2", r.Code)
 	}
 }
--- a/proofs/gate_test.go
+++ b/proofs/gate_test.go
@@ -15,17 +15,19 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"sardinecross.example/proofs/site"
 )
 
 // gateSite is the entry hosts of sardinegate with the stand-in of the users' platform, as separate processes.
 type gateSite struct {
-	*site
+	*site.Site
 	gates []*gateHost
 	next  atomic.Int64 // numbers the requests of all loads
 }
 
 type gateHost struct {
-	*process
+	*site.Process
 	id, zone, ip string
 	alive        atomic.Bool
 }
@@ -44,16 +46,16 @@
 
 func newGateSite(t *testing.T, hostsEach int) *gateSite {
 	t.Helper()
-	s := &gateSite{site: &site{t: t, dir: t.TempDir(), n: reserve(t)}}
-	p := startProcess(t, s.dir, "platform", "standin", "platform", "-listen", s.logAddr(), "-control", s.logControl(),
-		"-upstreams", s.ip(100, 1)+":7100", "-workers", "3")
-	s.wait("stand-in of the platform to start", func() bool {
-		data, _ := os.ReadFile(p.out.Name())
+	s := &gateSite{Site: &site.Site{T: t, Dir: t.TempDir(), N: site.Reserve(t)}}
+	p := site.StartProcess(t, s.Dir, "platform", "standin", "platform", "-listen", s.LogAddr(), "-control", s.LogControl(),
+		"-upstreams", s.IP(100, 1)+":7100", "-workers", "3")
+	s.Wait("stand-in of the platform to start", func() bool {
+		data, _ := os.ReadFile(p.Out.Name())
 		return bytes.HasPrefix(data, []byte("ready\n"))
 	})
 	for z, zone := range []string{"passau", "landshut"} {
 		for i := 1; i <= hostsEach; i++ {
-			s.gates = append(s.gates, &gateHost{id: fmt.Sprintf("%s-%d", zone, i), zone: zone, ip: s.ip(z+1, i)})
+			s.gates = append(s.gates, &gateHost{id: fmt.Sprintf("%s-%d", zone, i), zone: zone, ip: s.IP(z+1, i)})
 		}
 	}
 	for _, h := range s.gates {
@@ -74,24 +76,24 @@
 }
 
 func (s *gateSite) startGate(h *gateHost) {
-	text := gateSettings(h.id, h.zone, h.ip, s.logAddr())
-	path := s.path(h.id + ".conf")
+	text := gateSettings(h.id, h.zone, h.ip, s.LogAddr())
+	path := s.Path(h.id + ".conf")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		s.t.Fatal(err)
+		s.T.Fatal(err)
 	}
-	h.process = startProcess(s.t, s.dir, h.id, "sardinegate", "-settings", path)
+	h.Process = site.StartProcess(s.T, s.Dir, h.id, "sardinegate", "-settings", path)
 	h.alive.Store(true)
 }
 
 func (s *gateSite) killGate(h *gateHost) {
 	h.alive.Store(false)
-	h.kill()
+	h.Kill()
 }
 
 // waitReady waits until all living hosts are ready and the directory names exactly them.
 func (s *gateSite) waitReady() {
-	s.t.Helper()
-	s.wait("hosts to be ready", func() bool {
+	s.T.Helper()
+	s.Wait("hosts to be ready", func() bool {
 		named := map[string]bool{}
 		for _, h := range s.gates {
 			if !h.alive.Load() {
@@ -132,29 +134,29 @@
 }
 
 func (s *gateSite) command(c map[string]any) {
-	s.t.Helper()
+	s.T.Helper()
 	body, _ := json.Marshal(c)
-	resp, err := http.Post("http://"+s.logControl()+"/control", "application/json", bytes.NewReader(body))
+	resp, err := http.Post("http://"+s.LogControl()+"/control", "application/json", bytes.NewReader(body))
 	if err != nil {
-		s.t.Fatal(err)
+		s.T.Fatal(err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		text, _ := io.ReadAll(resp.Body)
-		s.t.Fatalf("control: %s", text)
+		s.T.Fatalf("control: %s", text)
 	}
 }
 
 func (s *gateSite) seen() gateStats {
-	s.t.Helper()
-	resp, err := http.Get("http://" + s.logControl() + "/stats")
+	s.T.Helper()
+	resp, err := http.Get("http://" + s.LogControl() + "/stats")
 	if err != nil {
-		s.t.Fatal(err)
+		s.T.Fatal(err)
 	}
 	defer resp.Body.Close()
 	var out gateStats
 	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
-		s.t.Fatal(err)
+		s.T.Fatal(err)
 	}
 	return out
 }
@@ -196,7 +198,7 @@
 			}
 		})
 	}
-	s.t.Cleanup(l.cancel)
+	s.T.Cleanup(l.cancel)
 	return l
 }
 
@@ -282,8 +284,8 @@
 	l := s.load(8)
 	time.Sleep(time.Second)
 	// A stopped host answers what reaches it until its callers have learned to go elsewhere.
-	s.gates[0].signal(syscall.SIGTERM)
-	s.wait("the directory to leave the host out", func() bool {
+	s.gates[0].Signal(syscall.SIGTERM)
+	s.Wait("the directory to leave the host out", func() bool {
 		for _, addr := range s.resolve(s.gates[3], "elsewhere") {
 			if strings.HasPrefix(addr, s.gates[0].ip) {
 				return false
@@ -292,7 +294,7 @@
 		return true
 	})
 	s.gates[0].alive.Store(false)
-	<-s.gates[0].done
+	<-s.gates[0].Done
 	answers := l.stop()
 	assertPromises(t, answers, s.seen())
 	assertServed(t, answers, 1)
@@ -468,25 +470,25 @@
 func TestGateSettingsReload(t *testing.T) {
 	s := newGateSite(t, 1)
 	h := s.gates[0]
-	path := s.path(h.id + ".conf")
+	path := s.Path(h.id + ".conf")
 	text, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
 	}
 	logged := func(words string) func() bool {
 		return func() bool {
-			out, _ := os.ReadFile(h.out.Name())
+			out, _ := os.ReadFile(h.Out.Name())
 			return strings.Contains(string(out), words)
 		}
 	}
 	if err := os.WriteFile(path, []byte("node="), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	s.wait("the refusal of the settings", logged("settings not reloaded"))
+	s.Wait("the refusal of the settings", logged("settings not reloaded"))
 	if err := os.WriteFile(path, bytes.Replace(text, []byte("grace-s=6"), []byte("grace-s=3"), 1), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	h.signal(syscall.SIGHUP)
-	s.wait("the reload", logged(`"settings reloaded"`))
+	h.Signal(syscall.SIGHUP)
+	s.Wait("the reload", logged(`"settings reloaded"`))
 	s.waitReady()
 }
--- a/proofs/operate_test.go
+++ b/proofs/operate_test.go
@@ -10,16 +10,18 @@
 
 	"sardinecross.example/lib/applog"
 	"sardinecross.example/lib/conf"
+
+	"sardinecross.example/proofs/site"
 )
 
 // outBound is the time within which no host sends new work to what operators took out, or to what the host list calls leaving.
 const outBound = 5 * time.Second
 
 // lastWork returns the time of the last new work of the upstreams that match.
-func (s *site) lastWork(match func(w workerStats) bool) time.Time {
-	s.t.Helper()
+func (s *proof) lastWork(match func(w site.WorkerStats) bool) time.Time {
+	s.T.Helper()
 	var last int64
-	for _, w := range s.workers() {
+	for _, w := range s.Workers() {
 		if match(w) {
 			last = max(last, w.LastWork)
 		}
@@ -28,9 +30,9 @@
 }
 
 // checkQuiet checks that the upstreams that match got no new work from the bound on, while traffic goes on long after it.
-func (s *site) checkQuiet(t *testing.T, since time.Time, what string, match func(w workerStats) bool) {
+func (s *proof) checkQuiet(t *testing.T, since time.Time, what string, match func(w site.WorkerStats) bool) {
 	t.Helper()
-	after(time.Until(since.Add(outBound + 3*time.Second)))
+	site.After(time.Until(since.Add(outBound + 3*time.Second)))
 	last := s.lastWork(match)
 	t.Logf("%s: last new work %v after the act", what, last.Sub(since).Round(time.Millisecond))
 	if last.After(since.Add(outBound)) {
@@ -44,37 +46,37 @@
 	t.Parallel()
 	holds(t, centreOut, "host cut off from the log and all hosts", "host cut off from the log alone", "host frozen and resumed",
 		"host started while the log is down", "data centre brought back")
-	s := newSite(t, layout{
-		dataCentres: hofbauer.dataCentres, hostsEach: 2, workers: map[string]int{"enquiry": 2, "booking": 1}, links: true, warm: true,
+	s := newSite(t, site.Layout{
+		DataCentres: site.Hofbauer.DataCentres, HostsEach: 2, Workers: map[string]int{"enquiry": 2, "booking": 1}, Links: true, Warm: true,
 	})
 	all := s.traffic(load{consultations: 8, orders: 4, pause: 2 * time.Millisecond})
 	// Callers that keep to one host each put work on every host, whatever it answers.
-	for _, h := range s.hosts {
-		s.traffic(load{consultations: 2, pause: 2 * time.Millisecond, direct: []string{h.callers}})
+	for _, h := range s.Hosts {
+		s.traffic(load{consultations: 2, pause: 2 * time.Millisecond, direct: []string{h.Callers}})
 	}
-	inLandshut := func(w workerStats) bool { return w.DataCentre == "landshut" }
-	s.wait("work in the data centre", func() bool { return !s.lastWork(inLandshut).Before(all.begun) })
-	cutOff, logless, frozen, late := s.hosts[2], s.hosts[0], s.hosts[1], s.hosts[5]
-	s.isolate(cutOff, true)
-	logless.logLink.both(true)
-	frozen.signal(syscall.SIGSTOP)
-	s.kill(late)
+	inLandshut := func(w site.WorkerStats) bool { return w.DataCentre == "landshut" }
+	s.Wait("work in the data centre", func() bool { return !s.lastWork(inLandshut).Before(all.begun) })
+	cutOff, logless, frozen, late := s.Hosts[2], s.Hosts[0], s.Hosts[1], s.Hosts[5]
+	s.Isolate(cutOff, true)
+	logless.LogLink.Both(true)
+	frozen.Signal(syscall.SIGSTOP)
+	s.Kill(late)
 	// The bound counts from before the act, since the program returns only when it has asked every host.
 	since := time.Now()
-	s.operate("out", "dataCentre", "landshut")
-	s.control(s.logControl(), `{"down": true}`)
-	s.start(late)
-	after(2 * time.Second)
-	frozen.signal(syscall.SIGCONT)
+	s.Operate("out", "dataCentre", "landshut")
+	s.Control(s.LogControl(), `{"down": true}`)
+	s.Start(late)
+	site.After(2 * time.Second)
+	frozen.Signal(syscall.SIGCONT)
 	s.checkQuiet(t, since, "data centre out", inLandshut)
 	before := all.count("consultations", served)
-	s.wait("other data centres to serve", func() bool { return all.count("consultations", served) > before+100 })
+	s.Wait("other data centres to serve", func() bool { return all.count("consultations", served) > before+100 })
 	clearLog(s)
-	s.isolate(cutOff, false)
-	logless.logLink.both(false)
+	s.Isolate(cutOff, false)
+	logless.LogLink.Both(false)
 	back := time.Now()
-	s.operate("back", "dataCentre", "landshut").ok()
-	s.wait("work in the data centre that is back", func() bool { return s.lastWork(inLandshut).After(back) })
+	s.Operate("back", "dataCentre", "landshut").OK()
+	s.Wait("work in the data centre that is back", func() bool { return s.lastWork(inLandshut).After(back) })
 	all.stop()
 	all.checkOrders(t)
 }
@@ -84,17 +86,17 @@
 	t.Parallel()
 	holds(t, upstreamOut, "listed as leaving", "listed as leaving with a host frozen", "taken out by operators",
 		"taken out with the owner killed", "host list down after the change")
-	s := newSite(t, layout{
-		dataCentres: []string{"passau", "landshut"}, hostsEach: 2, workers: map[string]int{"enquiry": 3, "booking": 1}, warm: true,
+	s := newSite(t, site.Layout{
+		DataCentres: []string{"passau", "landshut"}, HostsEach: 2, Workers: map[string]int{"enquiry": 3, "booking": 1}, Warm: true,
 	})
-	for _, h := range s.hosts {
-		s.traffic(load{consultations: 3, pause: 2 * time.Millisecond, direct: []string{h.callers}})
+	for _, h := range s.Hosts {
+		s.traffic(load{consultations: 3, pause: 2 * time.Millisecond, direct: []string{h.Callers}})
 	}
-	is := func(id string) func(w workerStats) bool {
-		return func(w workerStats) bool { return w.ID == id }
+	is := func(id string) func(w site.WorkerStats) bool {
+		return func(w site.WorkerStats) bool { return w.ID == id }
 	}
 	begun := time.Now()
-	s.wait("work at all upstreams", func() bool {
+	s.Wait("work at all upstreams", func() bool {
 		for i := 1; i <= 3; i++ {
 			if s.lastWork(is(fmt.Sprintf("enquiry-passau-%d", i))).Before(begun) {
 				return false
@@ -102,54 +104,54 @@
 		}
 		return true
 	})
-	frozen := s.hosts[1]
-	frozen.signal(syscall.SIGSTOP)
-	s.control(s.listControl(), `{"set": [{"id": "enquiry-passau-1", "state": "leaving"}]}`)
+	frozen := s.Hosts[1]
+	frozen.Signal(syscall.SIGSTOP)
+	s.Control(s.ListControl(), `{"set": [{"id": "enquiry-passau-1", "state": "leaving"}]}`)
 	since := time.Now()
-	after(time.Second)
-	s.control(s.listControl(), `{"down": true}`)
-	frozen.signal(syscall.SIGCONT)
+	site.After(time.Second)
+	s.Control(s.ListControl(), `{"down": true}`)
+	frozen.Signal(syscall.SIGCONT)
 	s.checkQuiet(t, since, "leaving by the host list", is("enquiry-passau-1"))
 	since = time.Now()
-	s.operate("out", "upstream", "enquiry-passau-2").ok()
-	s.kill(s.host(s.ownerOf("enquiry-passau-2")))
+	s.Operate("out", "upstream", "enquiry-passau-2").OK()
+	s.Kill(s.Host(s.ownerOf("enquiry-passau-2")))
 	s.checkQuiet(t, since, "taken out by operators", is("enquiry-passau-2"))
 }
 
 // ownerOf returns the owner of an upstream in the view of the first live host.
-func (s *site) ownerOf(id string) string {
-	s.t.Helper()
-	st, err := s.status(s.live()[0])
+func (s *proof) ownerOf(id string) string {
+	s.T.Helper()
+	st, err := s.Status(s.Live()[0])
 	if err != nil {
-		s.t.Fatal(err)
+		s.T.Fatal(err)
 	}
 	for _, u := range st.Upstreams {
 		if u.ID == id {
 			return u.Owner
 		}
 	}
-	s.t.Fatalf("no upstream %s", id)
+	s.T.Fatalf("no upstream %s", id)
 	return ""
 }
 
 // watchVersions polls the version on every host and fails if one incarnation ever goes back.
-func (s *site) watchVersions(t *testing.T) (stop func()) {
+func (s *proof) watchVersions(t *testing.T) (stop func()) {
 	var done atomic.Bool
 	var wg sync.WaitGroup
-	for _, h := range s.hosts {
+	for _, h := range s.Hosts {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			var last hostStatus
+			var last site.HostStatus
 			for !done.Load() {
-				st, err := s.status(h)
+				st, err := s.Status(h)
 				if err == nil && st.Incarnation == last.Incarnation && st.Configuration.Version < last.Configuration.Version {
-					t.Errorf("%s went back from version %d to %d", h.id, last.Configuration.Version, st.Configuration.Version)
+					t.Errorf("%s went back from version %d to %d", h.ID, last.Configuration.Version, st.Configuration.Version)
 				}
 				if err == nil {
 					last = st
 				}
-				after(20 * time.Millisecond)
+				site.After(20 * time.Millisecond)
 			}
 		}()
 	}
@@ -160,8 +162,8 @@
 }
 
 // target returns the target of a class that a host has in force.
-func (s *site) target(h *host, class string) string {
-	st, err := s.status(h)
+func (s *proof) target(h *site.Host, class string) string {
+	st, err := s.Status(h)
 	if err != nil {
 		return ""
 	}
@@ -179,18 +181,18 @@
 	t.Parallel()
 	holds(t, configuration, "operators race on one item", "operators race on two items", "answer of the log lost",
 		"log down", "hosts cut off from the log", "every host replaced", "records past retention", "host started while the log is down")
-	s := newSite(t, layout{
-		dataCentres: []string{"passau", "landshut"}, hostsEach: 2, workers: map[string]int{"booking": 1}, links: true, warm: true,
-		retention: `{"age": "10m", "records": 40}`,
+	s := newSite(t, site.Layout{
+		DataCentres: []string{"passau", "landshut"}, HostsEach: 2, Workers: map[string]int{"booking": 1}, Links: true, Warm: true,
+		Retention: `{"age": "10m", "records": 40}`,
 	})
 	stop := s.watchVersions(t)
-	set := func(class, target string) ctlResult {
-		return s.operate("class", "set", class, "-service", "booking", "-target", target, "-deadline", "2s", "-rank", "1")
+	set := func(class, target string) site.Result {
+		return s.Operate("class", "set", class, "-service", "booking", "-target", target, "-deadline", "2s", "-rank", "1")
 	}
-	inForce := func(class, target string, hosts []*host) {
+	inForce := func(class, target string, hosts []*site.Host) {
 		t.Helper()
 		since := time.Now()
-		s.wait(class+" "+target+" to be in force", func() bool {
+		s.Wait(class+" "+target+" to be in force", func() bool {
 			for _, h := range hosts {
 				if s.target(h, class) != target {
 					return false
@@ -207,7 +209,7 @@
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
-				codes[i] = set(class, fmt.Sprintf("%dms", 200+i)).code
+				codes[i] = set(class, fmt.Sprintf("%dms", 200+i)).Code
 			}()
 		}
 		wg.Wait()
@@ -221,7 +223,7 @@
 			}
 		}
 		winners := map[string]bool{}
-		for _, h := range s.hosts {
+		for _, h := range s.Hosts {
 			winners[s.target(h, "orders")] = true
 		}
 		if len(winners) != 1 {
@@ -232,39 +234,39 @@
 	if codes := race("orders", "deposits"); codes[0] != 0 || codes[1] != 0 {
 		t.Errorf("operators racing on two items exited with %v, want success for both", codes)
 	}
-	s.control(s.logControl(), `{"loseAnswers": {"next": 1}}`)
-	set("orders", "301ms").ok()
-	inForce("orders", "301ms", s.hosts)
-	s.control(s.logControl(), `{"down": true}`)
-	if r := set("orders", "302ms"); r.code == 0 {
+	s.Control(s.LogControl(), `{"loseAnswers": {"next": 1}}`)
+	set("orders", "301ms").OK()
+	inForce("orders", "301ms", s.Hosts)
+	s.Control(s.LogControl(), `{"down": true}`)
+	if r := set("orders", "302ms"); r.Code == 0 {
 		t.Errorf("the operators' program reported success while the log was down")
 	}
-	s.kill(s.hosts[1])
-	s.start(s.hosts[1])
-	inForce("orders", "301ms", s.hosts)
+	s.Kill(s.Hosts[1])
+	s.Start(s.Hosts[1])
+	inForce("orders", "301ms", s.Hosts)
 	clearLog(s)
-	s.hosts[0].logLink.both(true)
-	s.hosts[2].logLink.both(true)
-	set("orders", "303ms").ok()
-	inForce("orders", "303ms", s.hosts)
-	s.hosts[0].logLink.both(false)
-	s.hosts[2].logLink.both(false)
+	s.Hosts[0].LogLink.Both(true)
+	s.Hosts[2].LogLink.Both(true)
+	set("orders", "303ms").OK()
+	inForce("orders", "303ms", s.Hosts)
+	s.Hosts[0].LogLink.Both(false)
+	s.Hosts[2].LogLink.Both(false)
 	for i := range 30 {
-		set("deposits", fmt.Sprintf("%dms", 400+i)).ok()
+		set("deposits", fmt.Sprintf("%dms", 400+i)).OK()
 	}
-	for _, h := range s.hosts {
-		s.kill(h)
-		s.start(h)
-		inForce("orders", "303ms", []*host{h})
-		inForce("deposits", "429ms", []*host{h})
+	for _, h := range s.Hosts {
+		s.Kill(h)
+		s.Start(h)
+		inForce("orders", "303ms", []*site.Host{h})
+		inForce("deposits", "429ms", []*site.Host{h})
 	}
 	stop()
 }
 
 // checkSameBase appends two proposals that were made on the same version; only the first may come into force.
-func (s *site) checkSameBase(t *testing.T) {
+func (s *proof) checkSameBase(t *testing.T) {
 	t.Helper()
-	log := applog.New(s.logAddr())
+	log := applog.New(s.LogAddr())
 	defer log.Close()
 	item := conf.ClassItem("races")
 	for _, target := range []time.Duration{501 * time.Millisecond, 502 * time.Millisecond} {
@@ -279,11 +281,11 @@
 			t.Fatal(err)
 		}
 	}
-	s.operate("class", "set", "after", "-service", "booking", "-target", "90ms", "-deadline", "2s", "-rank", "1").ok()
-	for _, h := range s.hosts {
-		s.wait("the second proposal to be decided on "+h.id, func() bool { return s.target(h, "after") != "" })
+	s.Operate("class", "set", "after", "-service", "booking", "-target", "90ms", "-deadline", "2s", "-rank", "1").OK()
+	for _, h := range s.Hosts {
+		s.Wait("the second proposal to be decided on "+h.ID, func() bool { return s.target(h, "after") != "" })
 		if got := s.target(h, "races"); got != "501ms" {
-			t.Errorf("%s has %q in force after two proposals on one version, want the first", h.id, got)
+			t.Errorf("%s has %q in force after two proposals on one version, want the first", h.ID, got)
 		}
 	}
 }
@@ -293,27 +295,27 @@
 func TestPlannedStop(t *testing.T) {
 	t.Parallel()
 	holds(t, plannedStop, "one host stopped under load", "rolling replacement of every host")
-	s := newSite(t, layout{
-		dataCentres: []string{"passau", "landshut"}, hostsEach: 2, workers: map[string]int{"enquiry": 3, "booking": 3}, warm: true,
+	s := newSite(t, site.Layout{
+		DataCentres: []string{"passau", "landshut"}, HostsEach: 2, Workers: map[string]int{"enquiry": 3, "booking": 3}, Warm: true,
 	})
 	tr := s.traffic(load{orders: 4, consultations: 6, pause: 5 * time.Millisecond})
-	s.wait("traffic", func() bool {
+	s.Wait("traffic", func() bool {
 		return tr.count("consultations", served) > 300 && tr.count("orders", served) > 100
 	})
 	tr.mu.Lock()
 	tr.counts = map[string]map[outcome]int{"orders": {}, "consultations": {}}
 	tr.codes = map[string]int{}
 	tr.mu.Unlock()
-	for _, h := range s.hosts {
-		s.dead[h.id] = true
-		h.signal(syscall.SIGTERM)
-		<-h.done
-		s.start(h)
-		s.wait(h.id+" to be back", func() bool {
-			st, err := s.status(h)
+	for _, h := range s.Hosts {
+		s.Dead[h.ID] = true
+		h.Signal(syscall.SIGTERM)
+		<-h.Done
+		s.Start(h)
+		s.Wait(h.ID+" to be back", func() bool {
+			st, err := s.Status(h)
 			return err == nil && st.InService
 		})
-		after(2 * time.Second)
+		site.After(2 * time.Second)
 	}
 	tr.stop()
 	tr.checkOrders(t)
--- a/proofs/operations_test.go
+++ b/proofs/operations_test.go
@@ -182,7 +182,7 @@
 	ids["unknown"] = send("booking", http.StatusBadGateway)
 	s.command(map[string]any{"Out": "passau"})
 	s.command(map[string]any{"Out": "landshut"})
-	s.wait("the refusal of a request", func() bool {
+	s.Wait("the refusal of a request", func() bool {
 		a := l.send(http.DefaultClient, h, "enquiry", "/enquiry/x")
 		ids["refused"] = a.id
 		return a.status == http.StatusServiceUnavailable
@@ -220,10 +220,10 @@
 
 // requestLine waits for the log line of a request and returns its fields.
 func (s *gateSite) requestLine(h *gateHost, id string) map[string]any {
-	s.t.Helper()
+	s.T.Helper()
 	var fields map[string]any
-	s.wait("the line of request "+id, func() bool {
-		out, _ := os.ReadFile(h.out.Name())
+	s.Wait("the line of request "+id, func() bool {
+		out, _ := os.ReadFile(h.Out.Name())
 		for line := range strings.Lines(string(out)) {
 			if strings.Contains(line, `"id":"`+id+`"`) {
 				return json.Unmarshal([]byte(line), &fields) == nil
--- a/proofs/link_test.go
+++ b/proofs/site/link.go
@@ -1,4 +1,4 @@
-package proofs
+package site
 
 import (
 	"errors"
@@ -6,24 +6,24 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
-	"testing"
 	"time"
 )
 
-// cut says which directions of a link drop traffic.
-type cut struct {
-	// forward is from the dialling side, backward towards it.
-	forward, backward atomic.Bool
+// Cut says which directions of a link drop traffic.
+type Cut struct {
+	// Forward is from the dialling side, Backward towards it.
+	Forward, Backward atomic.Bool
 }
 
-func (c *cut) both(on bool) {
-	c.forward.Store(on)
-	c.backward.Store(on)
+// Both cuts or mends both directions.
+func (c *Cut) Both(on bool) {
+	c.Forward.Store(on)
+	c.Backward.Store(on)
 }
 
-// tcpLink forwards TCP connections; a cut link holds bytes back without closing, as a lossy network does.
-type tcpLink struct {
-	cut
+// TCPLink forwards TCP connections; a cut link holds bytes back without closing, as a lossy network does.
+type TCPLink struct {
+	Cut
 	ln     net.Listener
 	target string
 	wg     sync.WaitGroup
@@ -32,13 +32,14 @@
 	closed atomic.Bool
 }
 
-func newTCPLink(t *testing.T, target string) *tcpLink {
+// NewTCPLink returns a link to an address that ends with t.
+func NewTCPLink(t T, target string) *TCPLink {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &tcpLink{ln: ln, target: target, conns: map[net.Conn]struct{}{}}
+	l := &TCPLink{ln: ln, target: target, conns: map[net.Conn]struct{}{}}
 	l.wg.Add(1)
 	go func() {
 		defer l.wg.Done()
@@ -54,24 +55,26 @@
 			}()
 		}
 	}()
-	t.Cleanup(l.close)
+	t.Cleanup(l.Close)
 	return l
 }
 
-func (l *tcpLink) addr() string { return l.ln.Addr().String() }
+// Addr returns the address to dial.
+func (l *TCPLink) Addr() string { return l.ln.Addr().String() }
 
-func (l *tcpLink) close() {
+// Close ends the link and its connections and waits.
+func (l *TCPLink) Close() {
 	l.closed.Store(true)
-	l.ln.Close()
+	_ = l.ln.Close()
 	l.mu.Lock()
 	for c := range l.conns {
-		c.Close()
+		_ = c.Close()
 	}
 	l.mu.Unlock()
 	l.wg.Wait()
 }
 
-func (l *tcpLink) track(c net.Conn) func() {
+func (l *TCPLink) track(c net.Conn) func() {
 	l.mu.Lock()
 	l.conns[c] = struct{}{}
 	l.mu.Unlock()
@@ -79,11 +82,11 @@
 		l.mu.Lock()
 		delete(l.conns, c)
 		l.mu.Unlock()
-		c.Close()
+		_ = c.Close()
 	}
 }
 
-func (l *tcpLink) serve(c net.Conn) {
+func (l *TCPLink) serve(c net.Conn) {
 	defer l.track(c)()
 	up, err := net.Dial("tcp", l.target)
 	if err != nil {
@@ -93,15 +96,15 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		l.copy(up, c, &l.forward)
+		l.copy(up, c, &l.Forward)
 	}()
-	l.copy(c, up, &l.backward)
+	l.copy(c, up, &l.Backward)
 	<-done
 }
 
 // copy passes bytes on while the direction is not cut.
-func (l *tcpLink) copy(dst, src net.Conn, cut *atomic.Bool) {
-	defer dst.Close()
+func (l *TCPLink) copy(dst, src net.Conn, cut *atomic.Bool) {
+	defer dst.Close() //nolint:errcheck // the other end has gone
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
@@ -114,15 +117,15 @@
 			}
 		}
 		if err != nil {
-			src.Close()
+			_ = src.Close()
 			return
 		}
 	}
 }
 
-// udpLink forwards datagrams between one dialling host and one listener and drops those of a cut direction.
-type udpLink struct {
-	cut
+// UDPLink forwards datagrams between one dialling host and one listener and drops those of a cut direction.
+type UDPLink struct {
+	Cut
 	in     *net.UDPConn
 	target netip.AddrPort
 	mu     sync.Mutex
@@ -131,35 +134,38 @@
 	wg   sync.WaitGroup
 }
 
-func newUDPLink(t *testing.T, target string) *udpLink {
+// NewUDPLink returns a link to an address that ends with t.
+func NewUDPLink(t T, target string) *UDPLink {
 	t.Helper()
 	in, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &udpLink{in: in, target: netip.MustParseAddrPort(target), outs: map[netip.AddrPort]*net.UDPConn{}}
+	l := &UDPLink{in: in, target: netip.MustParseAddrPort(target), outs: map[netip.AddrPort]*net.UDPConn{}}
 	l.wg.Add(1)
 	go func() {
 		defer l.wg.Done()
 		l.forwardAll()
 	}()
-	t.Cleanup(l.close)
+	t.Cleanup(l.Close)
 	return l
 }
 
-func (l *udpLink) addr() string { return l.in.LocalAddr().String() }
+// Addr returns the address to dial.
+func (l *UDPLink) Addr() string { return l.in.LocalAddr().String() }
 
-func (l *udpLink) close() {
-	l.in.Close()
+// Close ends the link and waits.
+func (l *UDPLink) Close() {
+	_ = l.in.Close()
 	l.mu.Lock()
 	for _, c := range l.outs {
-		c.Close()
+		_ = c.Close()
 	}
 	l.mu.Unlock()
 	l.wg.Wait()
 }
 
-func (l *udpLink) forwardAll() {
+func (l *UDPLink) forwardAll() {
 	buf := make([]byte, 64<<10)
 	for {
 		n, from, err := l.in.ReadFromUDPAddrPort(buf)
@@ -167,14 +173,14 @@
 			return
 		}
 		out, err := l.out(from)
-		if err != nil || l.forward.Load() {
+		if err != nil || l.Forward.Load() {
 			continue
 		}
 		_, _ = out.Write(buf[:n])
 	}
 }
 
-func (l *udpLink) out(from netip.AddrPort) (*net.UDPConn, error) {
+func (l *UDPLink) out(from netip.AddrPort) (*net.UDPConn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c, ok := l.outs[from]; ok {
@@ -195,7 +201,7 @@
 				return
 			}
 			// Another error tells of a datagram that found no listener, as while a host restarts.
-			if err == nil && !l.backward.Load() {
+			if err == nil && !l.Backward.Load() {
 				_, _ = l.in.WriteToUDPAddrPort(buf[:n], from)
 			}
 		}
--- a/proofs/bench_test.go
+++ b/sardinebench/bench/bench.go
@@ -1,36 +1,43 @@
-//go:build bench
-
-package proofs
+// Package bench measures a site against its targets and against baselines without hosts.
+package bench
 
 import (
 	"fmt"
-	"os"
+	"slices"
 	"strconv"
-	"strings"
-	"testing"
 	"time"
+
+	"sardinecross.example/sardinebench/trial"
 )
 
-// TestBench measures a site against its targets and against baselines without hosts. Figures depend on the machine, so a
-// missed target does not fail the run. SARDINE_BENCH is empty, "quick", or a list of scenarios.
-func TestBench(t *testing.T) {
+// Settings select what is measured.
+type Settings struct {
+	// Quick measures one site at a constant service time, for a shorter time.
+	Quick bool
+	// Scenarios are the names of scenarios and sites; empty means all.
+	Scenarios []string
+}
+
+// Run measures a site against its targets and against baselines without hosts. Figures depend on the machine, so a
+// missed target does not fail the run.
+func Run(t *trial.T, cfg Settings) {
 	p := newBenchReport(t)
-	selected := os.Getenv("SARDINE_BENCH")
-	if selected == "quick" {
-		p.quick = true
-		selected = "steady"
+	p.quick = cfg.Quick
+	selected := cfg.Scenarios
+	if p.quick {
+		selected = []string{"steady"}
 	}
 	want := func(name string) bool {
-		return selected == "" || strings.Contains(","+selected+",", ","+name+",")
+		return len(selected) == 0 || slices.Contains(selected, name)
 	}
 	for _, spec := range []benchSpec{hofbauerSpec(), associationSpec()} {
-		if spec.name != "hofbauer" && (p.quick || selected != "" && !want(spec.name)) {
+		if spec.name != "hofbauer" && (p.quick || len(selected) > 0 && !want(spec.name)) {
 			continue
 		}
 		if want("steady") {
 			p.steadySite(spec)
 		}
-		if selected != "steady" {
+		if !slices.Equal(selected, []string{"steady"}) {
 			p.changingSite(spec, want)
 		}
 	}
@@ -47,7 +54,7 @@
 
 // steadySite compares the ways at a constant service time, where the difference of quantiles is the added time.
 func (p *benchReport) steadySite(spec benchSpec) {
-	p.t.Run(spec.name+"/steady", func(t *testing.T) {
+	p.t.Run(spec.name+"/steady", func(t *trial.T) {
 		b := newBenchSite(t, spec.constant(50*time.Millisecond))
 		sys := b.system()
 		p.warmUp(b, sys)
@@ -74,7 +81,7 @@
 
 // warmUp loads a new site until all workers are warm.
 func (p *benchReport) warmUp(b *benchSite, sys *throughSystem) {
-	b.t.Helper()
+	b.T.Helper()
 	first := b.run(benchLoad{duration: 4 * time.Second, share: 0.5}, sys)
 	for range 5 {
 		cold := 0
@@ -101,7 +108,7 @@
 }
 
 func (p *benchReport) changingSite(spec benchSpec, want func(string) bool) {
-	p.t.Run(spec.name, func(t *testing.T) {
+	p.t.Run(spec.name, func(t *trial.T) {
 		b := newBenchSite(t, spec.varying(40*time.Millisecond, 100*time.Millisecond))
 		sys := b.system()
 		p.warmUp(b, sys)
@@ -136,8 +143,8 @@
 	dc := b.spec.dataCentres[1]
 	operate := func(what string) func() {
 		return func() {
-			if r := b.operate(what, "dataCentre", dc); r.code != 0 {
-				b.t.Errorf("%s %s: exit code %d: %s%s", what, dc, r.code, r.out, r.errs)
+			if r := b.Operate(what, "dataCentre", dc); r.Code != 0 {
+				b.T.Errorf("%s %s: exit code %d: %s%s", what, dc, r.Code, r.Out, r.Errs)
 			}
 		}
 	}
@@ -169,7 +176,7 @@
 // stragglers slows a tenth of the workers tenfold.
 func (p *benchReport) stragglers(b *benchSite, sys *throughSystem) {
 	for _, id := range b.workersOf("", 10) {
-		b.control(b.fleetControl(), `{"worker": "`+id+`", "faults": {"straggle": 10}}`)
+		b.Control(b.FleetControl(), `{"worker": "`+id+`", "faults": {"straggle": 10}}`)
 	}
 	load := benchLoad{duration: 12 * time.Second, share: 0.5}
 	r := b.run(load, sys)
@@ -177,7 +184,7 @@
 	base := b.run(load, b.direct(twoChoices))
 	p.add("stragglers", "two choices", base)
 	p.add("stragglers", "round robin", b.run(load, b.direct(roundRobin)))
-	b.control(b.fleetControl(), `{"clear": true}`)
+	b.Control(b.FleetControl(), `{"clear": true}`)
 	p.atMost(b.spec.name+" stragglers, p99 of consultations as a part of that of two choices", r.whole(0).p99/base.whole(0).p99, 0.5)
 	p.inFlight(b.spec.name+" stragglers", r)
 }
@@ -199,7 +206,7 @@
 // coldClass restarts all workers of a class one after another within a second.
 func (p *benchReport) coldClass(b *benchSite, sys *throughSystem) {
 	load := benchLoad{duration: 12 * time.Second, share: 0.4, events: []benchEvent{{4 * time.Second, "restart", func() {
-		b.control(b.fleetControl(), `{"service": "`+b.spec.classes[0].service+`", "restart": true}`)
+		b.Control(b.FleetControl(), `{"service": "`+b.spec.classes[0].service+`", "restart": true}`)
 	}}}}
 	r := b.run(load, sys)
 	p.add("a class cold, restarted", "system", r)
@@ -211,7 +218,7 @@
 func (p *benchReport) coldWorker(b *benchSite, sys *throughSystem) {
 	id := b.workersOf(b.spec.classes[0].service, 1)[0]
 	load := benchLoad{duration: 10 * time.Second, share: 0.6, events: []benchEvent{{4 * time.Second, "cold", func() {
-		b.control(b.fleetControl(), `{"worker": "`+id+`", "cold": true}`)
+		b.Control(b.FleetControl(), `{"worker": "`+id+`", "cold": true}`)
 	}}}}
 	r := b.run(load, sys)
 	p.add("one worker cold without a sign", "system", r)
@@ -221,12 +228,12 @@
 // failFast makes one worker answer 500 at once.
 func (p *benchReport) failFast(b *benchSite, sys *throughSystem) {
 	id := b.workersOf(b.spec.classes[0].service, 1)[0]
-	b.control(b.fleetControl(), `{"worker": "`+id+`", "faults": {"failFast": {"probability": 1}}}`)
+	b.Control(b.FleetControl(), `{"worker": "`+id+`", "faults": {"failFast": {"probability": 1}}}`)
 	load := benchLoad{duration: 10 * time.Second, share: 0.6}
 	r := b.run(load, sys)
 	p.add("a worker that fails fast", "system", r)
 	p.add("a worker that fails fast", "two choices", b.run(load, b.direct(twoChoices)))
-	b.control(b.fleetControl(), `{"clear": true}`)
+	b.Control(b.FleetControl(), `{"clear": true}`)
 	p.inFlight(b.spec.name+" fast failures", r)
 }
 
@@ -240,8 +247,8 @@
 
 func (p *benchReport) logDown(b *benchSite, sys *throughSystem) {
 	load := benchLoad{duration: 12 * time.Second, share: 0.5, events: []benchEvent{
-		{3 * time.Second, "log down", func() { b.control(b.logControl(), `{"down": true}`) }},
-		{10 * time.Second, "log up", func() { b.control(b.logControl(), `{"down": false}`) }},
+		{3 * time.Second, "log down", func() { b.Control(b.LogControl(), `{"down": true}`) }},
+		{10 * time.Second, "log up", func() { b.Control(b.LogControl(), `{"down": false}`) }},
 	}}
 	r := b.run(load, sys)
 	p.add("log down for 7 s", "system", r)
@@ -250,7 +257,7 @@
 
 // hostKilled is last, since the host does not come back.
 func (p *benchReport) hostKilled(b *benchSite, sys *throughSystem) {
-	load := benchLoad{duration: 12 * time.Second, share: 0.5, events: []benchEvent{{4 * time.Second, "kill", func() { b.kill(b.hosts[0]) }}}}
+	load := benchLoad{duration: 12 * time.Second, share: 0.5, events: []benchEvent{{4 * time.Second, "kill", func() { b.Kill(b.Hosts[0]) }}}}
 	r := b.run(load, sys)
 	p.add("a host killed", "system", r)
 	p.inFlight(b.spec.name+" host killed", r)
--- a/proofs/bench_load_test.go
+++ b/sardinebench/bench/load.go
@@ -1,6 +1,4 @@
-//go:build bench
-
-package proofs
+package bench
 
 import (
 	"context"
@@ -16,6 +14,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"sardinecross.example/proofs/site"
 )
 
 const (
@@ -47,7 +47,7 @@
 type benchSample struct {
 	class    int
 	due, end time.Duration
-	outcome  outcome
+	outcome  site.Outcome
 	attempts int
 	code     string
 }
@@ -55,7 +55,7 @@
 // benchTarget sends attempts.
 type benchTarget interface {
 	// attempt sends one attempt of a request from a client; tried counts the earlier ones.
-	attempt(client int, c benchClass, number string, deadline time.Time, tried int) (outcome, string, time.Duration)
+	attempt(client int, c benchClass, number string, deadline time.Time, tried int) (site.Outcome, string, time.Duration)
 }
 
 // benchRun holds the results of one load.
@@ -71,8 +71,8 @@
 
 // run sends a load and collects its results.
 func (b *benchSite) run(l benchLoad, target benchTarget) *benchRun {
-	b.t.Helper()
-	b.control(b.fleetControl(), `{"resetStats": true}`)
+	b.T.Helper()
+	b.Control(b.FleetControl(), `{"resetStats": true}`)
 	r := &benchRun{spec: b.spec, load: l}
 	rng := rand.New(rand.NewPCG(benchSeed, 1))
 	due := make([]float64, len(b.spec.classes))
@@ -94,7 +94,7 @@
 		for _, a := range r.arrivals(rng, due, at, step) {
 			time.Sleep(time.Until(start.Add(a.due)))
 			number++
-			id, client := fmt.Sprintf("%d-%d-%d", b.n, start.UnixNano(), number), rng.IntN(benchClients)
+			id, client := fmt.Sprintf("%d-%d-%d", b.N, start.UnixNano(), number), rng.IntN(benchClients)
 			r.sendDelay = max(r.sendDelay, time.Since(start)-a.due)
 			wg.Go(func() {
 				r.call(target, &a, client, id, start)
@@ -136,16 +136,16 @@
 	if most == 0 {
 		most = benchAttempts
 	}
-	seen := notRun
+	seen := site.NotRun
 	for s.attempts < most && time.Now().Before(deadline) {
 		var pause time.Duration
 		s.outcome, s.code, pause = target.attempt(client, c, number, deadline, s.attempts)
 		s.attempts++
-		if s.outcome == served {
+		if s.outcome == site.Served {
 			break
 		}
-		if s.outcome == unknown {
-			seen = unknown
+		if s.outcome == site.Unknown {
+			seen = site.Unknown
 			if c.orders {
 				break
 			}
@@ -154,7 +154,7 @@
 			time.Sleep(min(max(pause, 5*time.Millisecond), 200*time.Millisecond))
 		}
 	}
-	if s.outcome != served {
+	if s.outcome != site.Served {
 		s.outcome = seen
 	}
 	s.end = time.Since(start)
@@ -171,12 +171,12 @@
 }
 
 // benchSend sends one attempt and reads the whole answer.
-func benchSend(tr *http.Transport, url string, c benchClass, number string, deadline time.Time, direct bool) (outcome, string, time.Duration) {
+func benchSend(tr *http.Transport, url string, c benchClass, number string, deadline time.Time, direct bool) (site.Outcome, string, time.Duration) {
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(250*time.Millisecond))
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/classes/"+c.name+"/work?bytes=256&number="+number, strings.NewReader("number="+number+"\n"))
 	if err != nil {
-		return unknown, "request", 0
+		return site.Unknown, "request", 0
 	}
 	if c.orders {
 		req.GetBody = nil
@@ -190,24 +190,24 @@
 	resp, err := tr.RoundTrip(req)
 	if err != nil {
 		if strings.Contains(err.Error(), "connection refused") {
-			return notRun, "dial", 0
+			return site.NotRun, "dial", 0
 		}
-		return unknown, "cut: " + err.Error(), 0
+		return site.Unknown, "cut: " + err.Error(), 0
 	}
-	defer resp.Body.Close()
+	defer resp.Body.Close() //nolint:errcheck // it was only read
 	data, err := io.ReadAll(resp.Body)
 	switch {
 	case err != nil:
-		return unknown, "truncated", 0
+		return site.Unknown, "truncated", 0
 	case resp.StatusCode == http.StatusOK:
-		return served, "", 0
+		return site.Served, "", 0
 	case resp.Header.Get("X-Not-Run") == "true":
-		return notRun, "shed", 0
+		return site.NotRun, "shed", 0
 	}
 	return refusalOf(resp, data)
 }
 
-func refusalOf(resp *http.Response, data []byte) (outcome, string, time.Duration) {
+func refusalOf(resp *http.Response, data []byte) (site.Outcome, string, time.Duration) {
 	var refusal struct {
 		Error struct {
 			Code       string `json:"code"`
@@ -217,9 +217,9 @@
 	_ = json.Unmarshal(data, &refusal)
 	pause, _ := time.ParseDuration(refusal.Error.RetryAfter)
 	if resp.Header.Get("X-Run") == "no" {
-		return notRun, refusal.Error.Code, pause
+		return site.NotRun, refusal.Error.Code, pause
 	}
-	return unknown, fmt.Sprintf("%d %s", resp.StatusCode, refusal.Error.Code), pause
+	return site.Unknown, fmt.Sprintf("%d %s", resp.StatusCode, refusal.Error.Code), pause
 }
 
 // throughSystem sends to the hosts that address answers name.
@@ -244,15 +244,15 @@
 	sys := &throughSystem{}
 	for i := range sys.clients {
 		c := &systemClient{
-			site: b, index: i, tr: benchTransport(b.ip(250, i+1)), rng: rand.New(rand.NewPCG(benchSeed, uint64(100+i))),
+			site: b, index: i, tr: benchTransport(b.IP(250, i+1)), rng: rand.New(rand.NewPCG(benchSeed, uint64(100+i))),
 		}
-		b.t.Cleanup(c.tr.CloseIdleConnections)
+		b.T.Cleanup(c.tr.CloseIdleConnections)
 		sys.clients[i] = c
 	}
 	return sys
 }
 
-func (sys *throughSystem) attempt(client int, c benchClass, number string, deadline time.Time, tried int) (outcome, string, time.Duration) {
+func (sys *throughSystem) attempt(client int, c benchClass, number string, deadline time.Time, tried int) (site.Outcome, string, time.Duration) {
 	cl := sys.clients[client]
 	addr := cl.pick(c.name, tried)
 	o, code, pause := benchSend(cl.tr, "http://"+addr, c, number, deadline, false)
@@ -291,7 +291,7 @@
 		c.asking = false
 		c.mu.Unlock()
 	}()
-	all := c.site.hosts
+	all := c.site.Hosts
 	for i := range all {
 		var answer struct {
 			Hosts []struct {
@@ -301,7 +301,7 @@
 			ValidFor string `json:"validFor"`
 		}
 		h := all[(i+c.index)%len(all)]
-		if err := getJSON("http://"+h.callers+"/v1/hosts?class="+class, &answer); err != nil || len(answer.Hosts) == 0 {
+		if err := site.GetJSON("http://"+h.Callers+"/v1/hosts?class="+class, &answer); err != nil || len(answer.Hosts) == 0 {
 			continue
 		}
 		valid, _ := time.ParseDuration(answer.ValidFor)
@@ -348,8 +348,8 @@
 	}
 	d := &direct{mode: mode, addrs: map[string][]string{}, rng: rand.New(rand.NewPCG(benchSeed, 50)), next: make([]atomic.Int64, n)}
 	for i := range n {
-		tr := benchTransport(b.ip(251, i+1))
-		b.t.Cleanup(tr.CloseIdleConnections)
+		tr := benchTransport(b.IP(251, i+1))
+		b.T.Cleanup(tr.CloseIdleConnections)
 		d.tr, d.sets = append(d.tr, tr), append(d.sets, map[string]int{})
 	}
 	for _, p := range b.places {
@@ -358,7 +358,7 @@
 	return d
 }
 
-func (d *direct) attempt(client int, c benchClass, number string, deadline time.Time, _ int) (outcome, string, time.Duration) {
+func (d *direct) attempt(client int, c benchClass, number string, deadline time.Time, _ int) (site.Outcome, string, time.Duration) {
 	set := client % len(d.sets)
 	addr := d.pick(set, d.addrs[c.service])
 	defer func() {
--- a/proofs/bench_report_test.go
+++ b/sardinebench/bench/report.go
@@ -1,6 +1,4 @@
-//go:build bench
-
-package proofs
+package bench
 
 import (
 	"encoding/csv"
@@ -10,9 +8,11 @@
 	"slices"
 	"strconv"
 	"strings"
-	"testing"
 	"text/tabwriter"
 	"time"
+
+	"sardinecross.example/proofs/site"
+	"sardinecross.example/sardinebench/trial"
 )
 
 // benchSettle is the part at the start of each load that the figures leave out: the hosts take up their first slots
@@ -42,7 +42,7 @@
 		if s.class != class {
 			continue
 		}
-		if s.outcome == served && s.end >= from && s.end < to {
+		if s.outcome == site.Served && s.end >= from && s.end < to {
 			ends = append(ends, s.end)
 		}
 		if s.due < from || s.due >= to {
@@ -50,14 +50,14 @@
 		}
 		f.sent++
 		switch s.outcome {
-		case served:
+		case site.Served:
 			f.served++
 			times = append(times, s.end-s.due)
 			continue
-		case notRun:
+		case site.NotRun:
 			f.notRun++
 			refusals = append(refusals, s.end-s.due)
-		case unknown:
+		case site.Unknown:
 			f.unknown++
 		}
 		f.codes[s.code]++
@@ -112,14 +112,14 @@
 
 // benchReport collects the results of all runs.
 type benchReport struct {
-	t       *testing.T
+	t       *trial.T
 	quick   bool
 	table   strings.Builder
 	rows    [][]string
 	targets []string
 }
 
-func newBenchReport(t *testing.T) *benchReport {
+func newBenchReport(t *trial.T) *benchReport {
 	if err := os.MkdirAll(benchDir, 0o755); err != nil {
 		t.Fatal(err)
 	}
@@ -135,11 +135,11 @@
 	average := strings.Fields(string(loadavg) + " ?")[0]
 	var text strings.Builder
 	w := tabwriter.NewWriter(&text, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "class\tsent\tserved\tnot run\tunknown\tp50 ms\tp99 ms\tmax ms\tgap ms\tgoodput\t refused p99 ms\tmax ms\t")
+	_, _ = fmt.Fprintln(w, "class\tsent\tserved\tnot run\tunknown\tp50 ms\tp99 ms\tmax ms\tgap ms\tgoodput\t refused p99 ms\tmax ms\t")
 	var codes []string
 	for i, c := range r.spec.classes {
 		f := r.whole(i)
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.1f\t%.1f\t%.3f\t%.1f\t%.1f\t\n", c.name, f.sent, f.served, f.notRun, f.unknown,
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.1f\t%.1f\t%.3f\t%.1f\t%.1f\t\n", c.name, f.sent, f.served, f.notRun, f.unknown,
 			f.p50, f.p99, f.max, f.gap, f.goodput, f.refusalP99, f.refusalMax)
 		p.rows = append(p.rows, []string{
 			r.spec.name, scenario, variant, c.name, text2(r.load.share), text2(r.load.duration.Seconds()), strconv.Itoa(f.sent),
@@ -161,7 +161,7 @@
 	}
 	p.table.WriteString(block + "\n")
 	fmt.Println(block)
-	if all := len(r.samples); all == 0 || !slices.ContainsFunc(r.samples, func(s benchSample) bool { return s.outcome == served }) {
+	if all := len(r.samples); all == 0 || !slices.ContainsFunc(r.samples, func(s benchSample) bool { return s.outcome == site.Served }) {
 		p.t.Fatalf("%s, %s: nothing of %d requests was served", scenario, variant, all)
 	}
 }
--- a/proofs/bench_site_test.go
+++ b/sardinebench/bench/site.go
@@ -1,12 +1,12 @@
-//go:build bench
-
-package proofs
+package bench
 
 import (
 	"fmt"
 	"math"
-	"testing"
 	"time"
+
+	"sardinecross.example/proofs/site"
+	"sardinecross.example/sardinebench/trial"
 )
 
 // benchClass is one class of a measured site and the workers of its service.
@@ -85,25 +85,25 @@
 
 // benchSite is a running site of a spec.
 type benchSite struct {
-	*site
+	*site.Site
 	spec   benchSpec
 	places []benchPlace
 }
 
 // newBenchSite starts a site with cold workers, and returns when it is in service.
-func newBenchSite(t *testing.T, spec benchSpec) *benchSite {
+func newBenchSite(t *trial.T, spec benchSpec) *benchSite {
 	t.Helper()
-	s := &site{
-		t: t, dir: t.TempDir(), n: reserve(t), pairs: map[[2]string]*udpLink{}, dead: map[string]bool{},
-		layout: layout{dataCentres: spec.dataCentres, workers: map[string]int{}},
+	s := &site.Site{
+		T: t, Dir: t.TempDir(), N: site.Reserve(t), Pairs: map[[2]string]*site.UDPLink{}, Dead: map[string]bool{},
+		Layout: site.Layout{DataCentres: spec.dataCentres, Workers: map[string]int{}},
 	}
-	b := &benchSite{site: s, spec: spec}
-	s.ctl("keys", "ca").save("ca.pem")
+	b := &benchSite{Site: s, spec: spec}
+	s.Ctl("keys", "ca").Save("ca.pem")
 	b.layOutHosts()
 	b.layOutWorkers()
 	b.startStandins()
-	for _, h := range s.hosts {
-		s.start(h)
+	for _, h := range s.Hosts {
+		s.Start(h)
 	}
 	for _, c := range spec.classes {
 		args := []string{
@@ -113,7 +113,7 @@
 		if !c.orders {
 			args = append(args, "-idempotent")
 		}
-		s.operate(args...).ok()
+		s.Operate(args...).OK()
 	}
 	b.awaitService()
 	return b
@@ -121,15 +121,15 @@
 
 // awaitService waits until every host knows all classes and reaches every other host.
 func (b *benchSite) awaitService() {
-	b.t.Helper()
-	b.wait("all classes to be in force on all hosts", func() bool {
-		for _, h := range b.live() {
-			st, err := b.status(h)
+	b.T.Helper()
+	b.Wait("all classes to be in force on all hosts", func() bool {
+		for _, h := range b.Live() {
+			st, err := b.Status(h)
 			if err != nil || !st.InService || len(st.Classes) != len(b.spec.classes) {
 				return false
 			}
 			for _, m := range st.Members {
-				if !m.Reachable && !b.dead[m.ID] {
+				if !m.Reachable && !b.Dead[m.ID] {
 					return false
 				}
 			}
@@ -142,33 +142,33 @@
 	for i := range b.spec.hosts {
 		d := i % len(b.spec.dataCentres)
 		n := i/len(b.spec.dataCentres) + 1
-		ip := b.ip(d+1, n)
-		h := &host{
-			id: fmt.Sprintf("%s-%d", b.spec.dataCentres[d], n), dataCentre: b.spec.dataCentres[d],
-			callers: ip + ":8080", peers: ip + ":9000", admin: ip + ":8090",
+		ip := b.IP(d+1, n)
+		h := &site.Host{
+			ID: fmt.Sprintf("%s-%d", b.spec.dataCentres[d], n), DataCentre: b.spec.dataCentres[d],
+			Callers: ip + ":8080", Peers: ip + ":9000", Admin: ip + ":8090",
 		}
-		b.ctl("keys", "host", "-ca", b.path("ca.pem"), "-id", h.id, "-address", ip).save(h.id + ".pem")
-		h.settings = b.write(h.id+".jsonc", b.benchSettings(h))
-		b.hosts = append(b.hosts, h)
+		b.Ctl("keys", "host", "-ca", b.Path("ca.pem"), "-id", h.ID, "-address", ip).Save(h.ID + ".pem")
+		h.Settings = b.Write(h.ID+".jsonc", b.benchSettings(h))
+		b.Hosts = append(b.Hosts, h)
 	}
 	var admins []string
-	for _, h := range b.hosts {
-		admins = append(admins, h.admin)
+	for _, h := range b.Hosts {
+		admins = append(admins, h.Admin)
 	}
-	b.write("operator.jsonc", map[string]any{
-		"platform": map[string]any{"log": b.logAddr(), "hostList": b.listAddr()},
+	b.Write("operator.jsonc", map[string]any{
+		"platform": map[string]any{"log": b.LogAddr(), "hostList": b.ListAddr()},
 		"admin":    admins,
 	})
 }
 
-func (b *benchSite) benchSettings(h *host) map[string]any {
+func (b *benchSite) benchSettings(h *site.Host) map[string]any {
 	services := map[string]any{}
 	for _, c := range b.spec.classes {
 		services[c.service] = map[string]any{
 			"slots": b.spec.slots, "connections": b.spec.connections, "probeCost": b.spec.probeCost, "connectionCost": "1ms",
 		}
 	}
-	settings := b.hostSettings(h)
+	settings := b.HostSettings(h)
 	settings["services"] = services
 	delete(settings, "timing")
 	return settings
@@ -180,7 +180,7 @@
 			d := (i + k) % len(b.spec.dataCentres)
 			b.places = append(b.places, benchPlace{
 				id: fmt.Sprintf("%s-%d", c.service, i+1), service: c.service, dataCentre: b.spec.dataCentres[d],
-				address: b.ip(100+10*d+k, i+1) + ":7100",
+				address: b.IP(100+10*d+k, i+1) + ":7100",
 			})
 		}
 	}
@@ -188,9 +188,9 @@
 
 func (b *benchSite) startStandins() {
 	var entries, workers []any
-	for _, h := range b.hosts {
+	for _, h := range b.Hosts {
 		entries = append(entries, map[string]any{
-			"id": h.id, "role": "host", "dataCentre": h.dataCentre, "address": h.callers, "peerAddress": h.peers,
+			"id": h.ID, "role": "host", "dataCentre": h.DataCentre, "address": h.Callers, "peerAddress": h.Peers,
 		})
 	}
 	for _, p := range b.places {
@@ -207,9 +207,9 @@
 			"serviceTime": map[string]any{"median": b.spec.median.String(), "p99": b.spec.p99.String()},
 		}
 	}
-	b.standin("log", map[string]any{"listen": b.logAddr(), "control": b.logControl(), "retention": map[string]any{"age": "10m"}})
-	b.standin("hosts", map[string]any{"listen": b.listAddr(), "control": b.listControl(), "lag": "200ms", "entries": entries})
-	b.standin("upstreams", map[string]any{"control": b.fleetControl(), "services": services, "workers": workers})
+	b.Standin("log", map[string]any{"listen": b.LogAddr(), "control": b.LogControl(), "retention": map[string]any{"age": "10m"}})
+	b.Standin("hosts", map[string]any{"listen": b.ListAddr(), "control": b.ListControl(), "lag": "200ms", "entries": entries})
+	b.Standin("upstreams", map[string]any{"control": b.FleetControl(), "services": services, "workers": workers})
 }
 
 // benchWorker is the part of the upstreams' counts that the report uses.
@@ -232,12 +232,12 @@
 }
 
 func (b *benchSite) benchWorkers() []benchWorker {
-	b.t.Helper()
+	b.T.Helper()
 	var answer struct {
 		Workers []benchWorker `json:"workers"`
 	}
-	if err := getJSON("http://"+b.fleetControl()+"/stats", &answer); err != nil {
-		b.t.Fatal(err)
+	if err := site.GetJSON("http://"+b.FleetControl()+"/stats", &answer); err != nil {
+		b.T.Fatal(err)
 	}
 	return answer.Workers
 }
--- a/proofs/slopes_link_test.go
+++ b/sardinebench/slope/link.go
@@ -1,13 +1,12 @@
-//go:build slopes
-
-package proofs
+package slope
 
 import (
 	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
-	"testing"
+
+	"sardinecross.example/sardinebench/trial"
 )
 
 // countingLink forwards the datagrams of one dialling host and counts them.
@@ -18,7 +17,7 @@
 	dialler        atomic.Pointer[net.UDPAddr]
 }
 
-func newCountingLink(t *testing.T, target string) *countingLink {
+func newCountingLink(t *trial.T, target string) *countingLink {
 	t.Helper()
 	in, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
@@ -36,8 +35,8 @@
 	l.running.Go(l.forward)
 	l.running.Go(l.backward)
 	t.Cleanup(func() {
-		in.Close()
-		out.Close()
+		_ = in.Close()  // nothing is left to lose
+		_ = out.Close() // nothing is left to lose
 		l.running.Wait()
 	})
 	return l
--- a/proofs/slopes_size_test.go
+++ b/sardinebench/slope/size.go
@@ -1,24 +1,22 @@
-//go:build slopes
-
-package proofs
+package slope
 
 import (
 	"fmt"
-	"testing"
 	"time"
 
 	"sardinecross.example/lib/common/ident"
 	"sardinecross.example/lib/conf"
 	"sardinecross.example/lib/order"
+	"sardinecross.example/sardinebench/trial"
 )
 
-// TestSlopesOfIntervals prints what the interval of the heartbeats costs. Hosts are unreachable after 600 ms of silence,
+// slopeIntervals prints what the interval of the heartbeats costs. Hosts are unreachable after 600 ms of silence,
 // so that intervals above 250 ms are not measured.
-func TestSlopesOfIntervals(t *testing.T) {
+func slopeIntervals(t *trial.T) {
 	s := series{t: t, unit: "heartbeats/s"}
 	for _, interval := range []time.Duration{100, 133, 167, 250} {
 		interval *= time.Millisecond
-		t.Run(interval.String(), func(t *testing.T) {
+		t.Run(interval.String(), func(t *trial.T) {
 			m := measureSiteWith(t, sized(2, 8, 32), map[string]any{"heartbeat": interval.String()})
 			s.add(float64(time.Second)/float64(interval), m.measure(nil))
 		})
@@ -26,17 +24,17 @@
 	s.fit()
 }
 
-// TestSlopesOfSizes prints the sizes of the records that grow with the site.
-func TestSlopesOfSizes(t *testing.T) {
-	t.Run("checkpoint", func(t *testing.T) {
+// slopeSizes prints the sizes of the records that grow with the site.
+func slopeSizes(t *trial.T) {
+	t.Run("checkpoint", func(t *trial.T) {
 		fitSizes(t, "items", []int{60, 120, 300, 1200}, func(n int) int { return len(configured(t, n).Checkpoint()) })
 	})
-	t.Run("claims", func(t *testing.T) {
+	t.Run("claims", func(t *trial.T) {
 		fitSizes(t, "keys", []int{1, 16, 64, 256}, func(n int) int { return len(claims(t, n)) })
 	})
 }
 
-func fitSizes(t *testing.T, unit string, sizes []int, of func(int) int) {
+func fitSizes(t *trial.T, unit string, sizes []int, of func(int) int) {
 	var x, y []float64
 	for _, n := range sizes {
 		bytes := of(n)
@@ -48,7 +46,7 @@
 }
 
 // configured returns a store that has decided one proposal for each of n upstreams.
-func configured(t *testing.T, n int) *conf.Store {
+func configured(t *trial.T, n int) *conf.Store {
 	t.Helper()
 	s := conf.NewStore()
 	for i := range n {
@@ -66,7 +64,7 @@
 }
 
 // claims returns a record that claims n keys of 36 characters, the length of a UUID, for one class and tenant.
-func claims(t *testing.T, n int) []byte {
+func claims(t *trial.T, n int) []byte {
 	t.Helper()
 	b := order.NewBook(1<<62, order.Limits{KeyLifetime: time.Minute})
 	for i := range n {
--- a/proofs/slopes_test.go
+++ b/sardinebench/slope/slope.go
@@ -1,9 +1,9 @@
-//go:build slopes
-
-package proofs
+// Package slope measures what a site costs against its size, as docs/CAPACITY.md shows it.
+package slope
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"math"
@@ -15,12 +15,14 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"testing"
 	"time"
 
 	"sardinecross.example/lib/applog"
 	"sardinecross.example/lib/common/ident"
 	"sardinecross.example/lib/conf"
+	"sardinecross.example/sardinebench/trial"
+
+	"sardinecross.example/proofs/site"
 )
 
 const (
@@ -32,8 +34,9 @@
 	ticksPerSecond = 100
 )
 
-// TestSlopes prints what one host costs against the size of the site. It passes or fails only by whether the site starts.
-func TestSlopes(t *testing.T) {
+// Run prints what one host costs against the size of the site, and what grows with the site. It fails only if a site does
+// not start.
+func Run(t *trial.T) {
 	t.Run("hosts", slopeHosts)
 	t.Run("hostsOfTwoDataCentres", slopeHostsOfTwo)
 	t.Run("upstreams", slopeUpstreams)
@@ -41,9 +44,11 @@
 	t.Run("changes", slopeChanges)
 	t.Run("requests", slopeRequests)
 	t.Run("requestIDs", slopeRequestIDs)
+	t.Run("intervals", slopeIntervals)
+	t.Run("sizes", slopeSizes)
 }
 
-func slopeHosts(t *testing.T) {
+func slopeHosts(t *trial.T) {
 	s := series{t: t, unit: "hosts"}
 	for _, n := range []int{4, 8, 13, 17, 30} {
 		s.site(fmt.Sprint(n), sized(1, n, 32), float64(n))
@@ -51,7 +56,7 @@
 	s.fit()
 }
 
-func slopeHostsOfTwo(t *testing.T) {
+func slopeHostsOfTwo(t *trial.T) {
 	s := series{t: t, unit: "hosts"}
 	for _, n := range []int{4, 8, 16, 30} {
 		s.site(fmt.Sprint(n), sized(2, n/2, 32), float64(n))
@@ -59,7 +64,7 @@
 	s.fit()
 }
 
-func slopeUpstreams(t *testing.T) {
+func slopeUpstreams(t *trial.T) {
 	s := series{t: t, unit: "upstreams"}
 	for _, n := range []int{32, 120, 300, 600} {
 		s.site(fmt.Sprint(n), sized(2, 4, n), float64(n))
@@ -67,25 +72,25 @@
 	s.fit()
 }
 
-func slopeClasses(t *testing.T) {
+func slopeClasses(t *trial.T) {
 	s := series{t: t, unit: "classes"}
 	m := measureSite(t, sized(2, 4, 32))
-	p := newPublisher(m.site)
+	p := newPublisher(m.Site)
 	for _, n := range []int{2, 10, 30, 58} {
 		for i := p.classes + 2; i < n; i++ {
 			p.publish(ident.ClassName(fmt.Sprintf("class%d", i)), time.Second)
 			p.classes++
 		}
-		m.wait("all classes on all hosts", func() bool { return m.all(func(h hostStatus) bool { return len(h.Classes) == n }) })
+		m.Wait("all classes on all hosts", func() bool { return m.all(func(h site.HostStatus) bool { return len(h.Classes) == n }) })
 		s.add(float64(n), m.measure(nil))
 	}
 	s.fit()
 }
 
-func slopeChanges(t *testing.T) {
+func slopeChanges(t *trial.T) {
 	s := series{t: t, unit: "changes/s"}
 	m := measureSite(t, sized(2, 4, 32))
-	p := newPublisher(m.site)
+	p := newPublisher(m.Site)
 	for _, rate := range []float64{0, 0.5, 2, 8} {
 		point := m.measure(func(stop <-chan struct{}) {
 			for i := 0; every(rate, stop); i++ {
@@ -98,14 +103,14 @@
 	for range 5 {
 		began := time.Now()
 		version := p.publish("changing", time.Duration(1+time.Now().UnixNano()%900)*time.Millisecond)
-		m.wait("the change on all hosts", func() bool {
-			return m.all(func(h hostStatus) bool { return h.Configuration.Version >= version })
+		m.Wait("the change on all hosts", func() bool {
+			return m.all(func(h site.HostStatus) bool { return h.Configuration.Version >= version })
 		})
-		t.Logf("change in force on %d hosts after %v", len(m.hosts), time.Since(began).Round(time.Millisecond))
+		t.Logf("change in force on %d hosts after %v", len(m.Hosts), time.Since(began).Round(time.Millisecond))
 	}
 }
 
-func slopeRequests(t *testing.T) {
+func slopeRequests(t *trial.T) {
 	s := series{t: t, unit: "requests/s", first: true}
 	m := measureSite(t, sized(2, 4, 32))
 	for _, rate := range []float64{0, 100, 300, 600, 1000} {
@@ -117,7 +122,7 @@
 	s.fit()
 }
 
-func slopeRequestIDs(t *testing.T) {
+func slopeRequestIDs(t *trial.T) {
 	s := series{t: t, unit: "thousand IDs", first: true}
 	m := measureSite(t, sized(1, 3, 32))
 	held := 0
@@ -130,11 +135,11 @@
 }
 
 // sized returns a layout with idle warm workers of two services.
-func sized(dataCentres, hostsEach, upstreams int) layout {
+func sized(dataCentres, hostsEach, upstreams int) site.Layout {
 	each := upstreams / dataCentres / 2
-	return layout{
-		dataCentres: []string{"alpha", "beta"}[:dataCentres], hostsEach: hostsEach,
-		workers: map[string]int{"booking": each, "enquiry": each}, warm: true,
+	return site.Layout{
+		DataCentres: []string{"alpha", "beta"}[:dataCentres], HostsEach: hostsEach,
+		Workers: map[string]int{"booking": each, "enquiry": each}, Warm: true,
 	}
 }
 
@@ -150,7 +155,7 @@
 
 // series is the points of one slope.
 type series struct {
-	t    *testing.T
+	t    *trial.T
 	unit string
 	// first prints the quantities of the first host, which has the load.
 	first  bool
@@ -158,8 +163,8 @@
 	points []point
 }
 
-func (s *series) site(name string, l layout, x float64) {
-	s.t.Run(name, func(t *testing.T) { s.add(x, measureSite(t, l).measure(nil)) })
+func (s *series) site(name string, l site.Layout, x float64) {
+	s.t.Run(name, func(t *trial.T) { s.add(x, measureSite(t, l).measure(nil)) })
 }
 
 func (s *series) add(x float64, p point) {
@@ -211,53 +216,53 @@
 
 // measured is a site whose first host reaches all others through counting links.
 type measured struct {
-	*site
+	*site.Site
 	links []*countingLink
 }
 
-func measureSite(t *testing.T, l layout) *measured {
+func measureSite(t *trial.T, l site.Layout) *measured {
 	t.Helper()
 	return measureSiteWith(t, l, map[string]any{"requestIdLifetime": "1h"})
 }
 
 // measureSiteWith starts a site whose hosts have the given timing.
-func measureSiteWith(t *testing.T, l layout, timing map[string]any) *measured {
+func measureSiteWith(t *trial.T, l site.Layout, timing map[string]any) *measured {
 	t.Helper()
-	s := &site{t: t, layout: l, dir: t.TempDir(), n: reserve(t), pairs: map[[2]string]*udpLink{}, dead: map[string]bool{}}
-	m := &measured{site: s}
-	s.ctl("keys", "ca").save("ca.pem")
-	s.layOut()
-	s.write("operator.jsonc", map[string]any{
-		"platform": map[string]any{"log": s.logAddr(), "hostList": s.listAddr()},
-		"admin":    []string{s.hosts[0].admin},
+	s := &site.Site{T: t, Layout: l, Dir: t.TempDir(), N: site.Reserve(t), Pairs: map[[2]string]*site.UDPLink{}, Dead: map[string]bool{}}
+	m := &measured{Site: s}
+	s.Ctl("keys", "ca").Save("ca.pem")
+	s.LayOut()
+	s.Write("operator.jsonc", map[string]any{
+		"platform": map[string]any{"log": s.LogAddr(), "hostList": s.ListAddr()},
+		"admin":    []string{s.Hosts[0].Admin},
 	})
 	addresses := map[string]string{}
-	for _, h := range s.hosts[1:] {
-		link := newCountingLink(t, h.peers)
+	for _, h := range s.Hosts[1:] {
+		link := newCountingLink(t, h.Peers)
 		m.links = append(m.links, link)
-		addresses[h.id] = link.addr()
+		addresses[h.ID] = link.addr()
 	}
-	for i, h := range s.hosts {
-		settings := s.hostSettings(h)
+	for i, h := range s.Hosts {
+		settings := s.HostSettings(h)
 		// The default of 800% lets garbage hide the memory that is in use.
 		settings["runtime"] = map[string]any{"processors": 1, "gcPercent": 100}
 		settings["timing"] = timing
 		if i == 0 {
 			settings["peerAddresses"] = addresses
 		}
-		h.settings = s.write(h.id+".jsonc", settings)
+		h.Settings = s.Write(h.ID+".jsonc", settings)
 	}
-	s.startPlatform()
-	for _, h := range s.hosts {
-		s.start(h)
+	s.StartPlatform()
+	for _, h := range s.Hosts {
+		s.Start(h)
 	}
-	s.publishClasses()
+	s.PublishClasses()
 	return m
 }
 
-func (m *measured) all(ok func(hostStatus) bool) bool {
-	return !slices.ContainsFunc(m.hosts, func(h *host) bool {
-		st, err := m.status(h)
+func (m *measured) all(ok func(site.HostStatus) bool) bool {
+	return !slices.ContainsFunc(m.Hosts, func(h *site.Host) bool {
+		st, err := m.Status(h)
 		return err != nil || !ok(st)
 	})
 }
@@ -269,10 +274,10 @@
 	if work != nil {
 		running.Go(func() { work(stop) })
 	}
-	after(settling)
+	site.After(settling)
 	before := m.sample(false)
 	began := time.Now()
-	after(window)
+	site.After(window)
 	taken := time.Since(began).Seconds()
 	end := m.sample(true)
 	close(stop)
@@ -295,9 +300,9 @@
 	if end {
 		m.sampleProcesses(p)
 	}
-	for _, h := range m.hosts {
+	for _, h := range m.Hosts {
 		c := m.counters(h)
-		n := float64(len(m.hosts))
+		n := float64(len(m.Hosts))
 		p["messages sent/s"] += c["peer_messages_sent"] / n
 		p["messages received/s"] += c["peer_messages_received"] / n
 		p["message B sent/s"] += c["peer_bytes_sent"] / n
@@ -314,10 +319,10 @@
 	var list struct {
 		Reads float64 `json:"reads"`
 	}
-	if err := getJSON("http://"+m.listControl()+"/stats", &list); err != nil {
-		m.t.Fatal(err)
+	if err := site.GetJSON("http://"+m.ListControl()+"/stats", &list); err != nil {
+		m.T.Fatal(err)
 	}
-	p["host list reads/s"] = list.Reads / float64(len(m.hosts))
+	p["host list reads/s"] = list.Reads / float64(len(m.Hosts))
 	p["host list B/s"] = p["host list reads/s"] * m.listBytes()
 	if !end {
 		m.sampleProcesses(p)
@@ -326,16 +331,16 @@
 }
 
 func (m *measured) sampleProcesses(p point) {
-	for i, h := range m.hosts {
-		pid := h.cmd.Process.Pid
-		cpu := 100 * cpuSeconds(m.t, pid)
-		anonymous := procField(m.t, pid, "status", "RssAnon:") / 1024
-		p.mean("cpu %", cpu, len(m.hosts))
-		p.mean("rss MB", procField(m.t, pid, "status", "VmRSS:")/1024, len(m.hosts))
-		p.mean("anonymous MB", anonymous, len(m.hosts))
+	for i, h := range m.Hosts {
+		pid := h.Cmd.Process.Pid
+		cpu := 100 * cpuSeconds(m.T, pid)
+		anonymous := procField(m.T, pid, "status", "RssAnon:") / 1024
+		p.mean("cpu %", cpu, len(m.Hosts))
+		p.mean("rss MB", procField(m.T, pid, "status", "VmRSS:")/1024, len(m.Hosts))
+		p.mean("anonymous MB", anonymous, len(m.Hosts))
 		// Reads and writes are those of TCP; QUIC uses other system calls.
-		p.mean("TCP B read/s", procField(m.t, pid, "io", "rchar:"), len(m.hosts))
-		p.mean("TCP B written/s", procField(m.t, pid, "io", "wchar:"), len(m.hosts))
+		p.mean("TCP B read/s", procField(m.T, pid, "io", "rchar:"), len(m.Hosts))
+		p.mean("TCP B written/s", procField(m.T, pid, "io", "wchar:"), len(m.Hosts))
 		if i == 0 {
 			p["cpu % of first"], p["anonymous MB of first"] = cpu, anonymous
 		}
@@ -344,7 +349,7 @@
 
 func (p point) mean(q string, v float64, n int) { p[q] += v / float64(n) }
 
-func cpuSeconds(t *testing.T, pid int) float64 {
+func cpuSeconds(t site.T, pid int) float64 {
 	t.Helper()
 	data, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "stat"))
 	if err != nil {
@@ -358,7 +363,7 @@
 }
 
 // procField returns the number of one line of a file of /proc/PID.
-func procField(t *testing.T, pid int, file, name string) float64 {
+func procField(t site.T, pid int, file, name string) float64 {
 	t.Helper()
 	data, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), file))
 	if err != nil {
@@ -375,10 +380,10 @@
 }
 
 // counters returns the counters of GET /metrics without their common prefix and suffix.
-func (m *measured) counters(h *host) map[string]float64 {
-	m.t.Helper()
+func (m *measured) counters(h *site.Host) map[string]float64 {
+	m.T.Helper()
 	values := map[string]float64{}
-	for line := range strings.Lines(m.text("http://" + h.admin + "/metrics")) {
+	for line := range strings.Lines(m.text("http://" + h.Admin + "/metrics")) {
 		if f := strings.Fields(line); len(f) == 2 && f[0] != "#" {
 			v, _ := strconv.ParseFloat(f[1], 64)
 			values[strings.TrimSuffix(strings.TrimPrefix(f[0], "sardined_"), "_total")] = v
@@ -390,7 +395,7 @@
 // added returns the first host's quantiles of the added and the total time.
 func (m *measured) added() string {
 	var lines []string
-	for line := range strings.Lines(m.text("http://" + m.hosts[0].admin + "/metrics")) {
+	for line := range strings.Lines(m.text("http://" + m.Hosts[0].Admin + "/metrics")) {
 		if strings.Contains(line, "class_") && strings.Contains(line, "consultations") && !strings.Contains(line, "queue") {
 			lines = append(lines, strings.TrimSpace(line))
 		}
@@ -399,24 +404,24 @@
 }
 
 func (m *measured) text(url string) string {
-	m.t.Helper()
-	resp, err := shortClient.Get(url)
+	m.T.Helper()
+	resp, err := site.Client.Get(url)
 	if err != nil {
-		m.t.Fatal(err)
+		m.T.Fatal(err)
 	}
-	defer resp.Body.Close()
+	defer resp.Body.Close() //nolint:errcheck // it was only read
 	data, _ := io.ReadAll(resp.Body)
 	return string(data)
 }
 
 // listBytes returns the size of a reading of the host list, without the header.
 func (m *measured) listBytes() float64 {
-	return float64(len(m.text("http://" + m.listAddr() + "/v1/hosts")))
+	return float64(len(m.text("http://" + m.ListAddr() + "/v1/hosts")))
 }
 
 // publisher appends proposals to the log.
 type publisher struct {
-	t   *testing.T
+	t   site.T
 	log *applog.Client
 	// bases are the versions of the items.
 	bases map[conf.Item]int64
@@ -425,9 +430,9 @@
 	n       int
 }
 
-func newPublisher(s *site) *publisher {
-	p := &publisher{t: s.t, log: applog.New(s.logAddr()), bases: map[conf.Item]int64{}}
-	s.t.Cleanup(p.log.Close)
+func newPublisher(s *site.Site) *publisher {
+	p := &publisher{t: s.T, log: applog.New(s.LogAddr()), bases: map[conf.Item]int64{}}
+	s.T.Cleanup(p.log.Close)
 	return p
 }
 
@@ -447,7 +452,7 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	version, err := p.log.Append(p.t.Context(), "config", data)
+	version, err := p.log.Append(context.Background(), "config", data)
 	if err != nil {
 		p.t.Fatal(err)
 	}
@@ -472,7 +477,7 @@
 // send sends consultations to the first host at a rate, from a fixed number of senders.
 func (m *measured) send(rate float64, stop <-chan struct{}, done *atomic.Int64) {
 	const senders = 20
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: senders}, Timeout: patience}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: senders}, Timeout: site.Patience}
 	defer client.CloseIdleConnections()
 	var running sync.WaitGroup
 	for i := range senders {
@@ -496,9 +501,9 @@
 
 // call returns the status of one request to the first host.
 func (m *measured) call(client *http.Client, method, path, id string) int {
-	req, err := http.NewRequest(method, "http://"+m.hosts[0].callers+path, nil)
+	req, err := http.NewRequest(method, "http://"+m.Hosts[0].Callers+path, nil)
 	if err != nil {
-		m.t.Error(err)
+		m.T.Errorf("%v", err)
 		return 0
 	}
 	if id != "" {
@@ -508,7 +513,7 @@
 	if err != nil {
 		return 0
 	}
-	defer resp.Body.Close()
+	defer resp.Body.Close() //nolint:errcheck // it was only read
 	_, _ = io.Copy(io.Discard, resp.Body)
 	return resp.StatusCode
 }
@@ -516,7 +521,7 @@
 // fill has the first host hold n further issued IDs, each with the stored answer of an order.
 func (m *measured) fill(n int) {
 	const senders = 24
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: senders}, Timeout: patience}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: senders}, Timeout: site.Patience}
 	defer client.CloseIdleConnections()
 	var running sync.WaitGroup
 	var left atomic.Int64
@@ -524,8 +529,8 @@
 	for range senders {
 		running.Go(func() {
 			for left.Add(-1) >= 0 {
-				for !m.order(client) && !m.t.Failed() {
-					after(10 * time.Millisecond)
+				for !m.order(client) && !m.T.Failed() {
+					site.After(10 * time.Millisecond)
 				}
 			}
 		})
@@ -535,12 +540,12 @@
 
 // order runs one order with an issued ID.
 func (m *measured) order(client *http.Client) bool {
-	resp, err := client.Post("http://"+m.hosts[0].callers+"/v1/ids?class=orders", "", nil)
+	resp, err := client.Post("http://"+m.Hosts[0].Callers+"/v1/ids?class=orders", "", nil)
 	if err != nil {
 		return false
 	}
 	body, _ := io.ReadAll(resp.Body)
-	resp.Body.Close()
+	_ = resp.Body.Close() // it was only read
 	_, rest, _ := strings.Cut(string(body), `"id":"`)
 	id, _, ok := strings.Cut(rest, `"`)
 	return ok && resp.StatusCode == http.StatusOK && m.call(client, http.MethodPost, "/v1/classes/orders/x", id) == http.StatusOK
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -59,6 +59,7 @@
 	draining bool
 	dropping bool
 	work     time.Duration
+	cold     time.Time // until when the upstream is cold
 }
 
 var _ http.Handler = (*Server)(nil)
@@ -122,6 +123,21 @@
 	s.work = d
 }
 
+// Chill makes the upstream cold for a time.
+func (s *Server) Chill(d time.Duration) {
+	s.mu.Lock()
+	s.cold = time.Now().Add(d)
+	s.mu.Unlock()
+	s.report(time.Now().UnixMilli())
+}
+
+// coldFor returns how long the upstream stays cold.
+func (s *Server) coldFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(time.Until(s.cold), 0)
+}
+
 func (s *Server) state() (state string, dropping bool, work time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -135,7 +151,7 @@
 	state, _, _ := s.state()
 	entry, err := json.Marshal(map[string]any{
 		"service": s.cfg.Service, "addr": s.cfg.Addr, "zone": s.cfg.Zone, "version": "v1", "slots": s.cfg.Slots,
-		"state": state, "cold-left-s": 0, "seq": seq, "born": s.born,
+		"state": state, "cold-left-s": s.coldFor().Seconds(), "seq": seq, "born": s.born,
 	})
 	if err == nil {
 		s.cfg.Registry.Put("keyed.servers", s.id, entry)
@@ -147,6 +163,9 @@
 	w.Header().Set("Server-Load", fmt.Sprintf("%d,%d,%d,100", s.running.Load(), s.waiting.Load(), s.cfg.Slots))
 	if r.URL.Path == "/health" {
 		w.Header().Set("Instance-Id", s.id)
+		if left := s.coldFor(); left > 0 {
+			w.Header().Set("Cold-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+		}
 		if state, _, _ := s.state(); state != "ready" {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
--- a/standin/users/users.go
+++ b/standin/users/users.go
@@ -175,10 +175,12 @@
 	Prefixes []string
 	// Out and Back are zones to take out of service and back.
 	Out, Back string
-	// WorkMS is how long all upstreams work on a request from now on, in milliseconds.
+	// WorkMS is how long upstreams work on a request from now on, in milliseconds: the one with the ID Of, or all.
 	WorkMS int
-	// Drain, Crash and Drop are IDs of upstreams.
-	Drain, Crash, Drop string
+	Of     string
+	// Drain, Crash, Drop and Chill are IDs of upstreams; Chill makes one cold for ColdMS milliseconds.
+	Drain, Crash, Drop, Chill string
+	ColdMS                    int
 	// Add is a service that gets a further upstream in the first zone.
 	Add string
 }
@@ -225,8 +227,10 @@
 	}
 	if c.WorkMS > 0 {
 		s.mu.Lock()
-		for _, u := range s.upstreams {
-			u.SetWork(time.Duration(c.WorkMS) * time.Millisecond)
+		for id, u := range s.upstreams {
+			if c.Of == "" || c.Of == id {
+				u.SetWork(time.Duration(c.WorkMS) * time.Millisecond)
+			}
 		}
 		s.mu.Unlock()
 	}
@@ -237,6 +241,7 @@
 		c.Drain: func(u *upstream) { u.Drain() },
 		c.Drop:  func(u *upstream) { u.Drop(true) },
 		c.Crash: func(u *upstream) { u.http.Close() },
+		c.Chill: func(u *upstream) { u.Chill(time.Duration(c.ColdMS) * time.Millisecond) },
 	} {
 		if id == "" {
 			continue
