grant: Expect overdue responses to stay away

Cause, found by TestGateStalledUpstream (6 of 921 queries got 504): the time until the response of an overdue attempt was taken for a quarter of a usual one, however long it was overdue, so a second attempt never seemed to gain and a query at a stalled upstream waited for its route's timeout. A response overdue by t is now expected to take another t/2.

Ruled out: the retry budget and the cold rate (not reached), the host's own timer (it asks, the owner refused with noGain).

--- a/lib/grant/pick.go
+++ b/lib/grant/pick.go
@@ -111,7 +111,7 @@
 func (svc *service) remaining(now time.Duration, u *upstream, f flight) time.Duration {
 	u.advance(now)
 	rest := float64(svc.typical)*u.speed - (u.work-f.work)*float64(time.Second)
-	t := max(rest, float64(svc.typical)*leastRest) * u.factor(now) / usualFactor
+	t := max(rest, float64(svc.typical)*leastRest, -rest*overdueShare) * u.factor(now) / usualFactor
 	if u.silent(now) {
 		t *= silentSlowdown
 	}
--- a/lib/grant/settings.go
+++ b/lib/grant/settings.go
@@ -70,6 +70,9 @@
 	maxRetryAfter = 600 * time.Millisecond
 	// leastRest is the least part of a typical response time that is assumed to remain.
 	leastRest = 0.25
+	// overdueShare is the part of the time by which a response is overdue that is assumed to remain as well: a stalled
+	// request does not end soon because it began long ago.
+	overdueShare = 0.5
 	// hedgeGain is the share of the expected remaining time that a second attempt has to save.
 	hedgeGain = 0.25
 )
--- a/proofs/gate_test.go
+++ b/proofs/gate_test.go
@@ -178,7 +178,10 @@
 	all    []gateAnswer
 }
 
-func (s *gateSite) load(callers int) *gateLoad {
+func (s *gateSite) load(callers int, services ...string) *gateLoad {
+	if len(services) == 0 {
+		services = []string{"enquiry", "booking", "archive"}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &gateLoad{s: s, cancel: cancel}
 	client := &http.Client{Timeout: 5 * time.Second}
@@ -190,7 +193,7 @@
 					time.Sleep(time.Millisecond)
 					continue
 				}
-				service := []string{"enquiry", "booking", "archive"}[rand.IntN(3)]
+				service := services[rand.IntN(len(services))]
 				a := l.send(client, h, service, "/"+service+"/x?y=%2F")
 				l.mu.Lock()
 				l.all = append(l.all, a)
