proofs: Run the stopped log reader until queue and pipe are full

With the guard off (writing blocks) the test passed: 3 s of lines fitted into the queue and the pipe.

--- a/proofs/guards_test.go
+++ b/proofs/guards_test.go
@@ -132,7 +132,7 @@
 	}
 	s.waitReady()
 	l := s.load(8)
-	time.Sleep(3 * time.Second)
+	time.Sleep(12 * time.Second) // at 150 lines a second, queue and pipe are full before that
 	answers := l.stop()
 	assertPromises(t, answers, s.seen())
 	assertServed(t, answers, 1)
