peer: Log the loss and the return of a link at the usual level

Links between hosts were logged at debug, so the log of an own host did not tell when it lost another one, nor why. They are logged once each now, the loss as a warning with its cause, an own end not at all. The test fails without the change.

--- a/sardined/peer/link.go
+++ b/sardined/peer/link.go
@@ -181,10 +181,13 @@
 		return
 	}
 	l.deps.Metrics.PeerConnections.Inc(1)
-	l.deps.Logger.Debug("link opened", "host", p.host)
+	l.deps.Logger.Info("link opened", "host", p.host)
 	ctx, cancel := context.WithCancel(l.ctx)
 	var tasks sync.WaitGroup
+	var once sync.Once
+	var cause error
 	fail := func(err error) {
+		once.Do(func() { cause = err })
 		cancel()
 		code := codeClosed
 		var protocolErr *ProtocolError
@@ -198,7 +201,11 @@
 	tasks.Go(func() { fail(l.acceptRelays(ctx, conn, &tasks)) })
 	tasks.Wait()
 	cancel()
-	l.deps.Logger.Debug("link closed", "host", p.host)
+	select {
+	case <-p.gone: // this host closed it
+	default:
+		l.deps.Logger.Warn("link lost", "host", p.host, "error", cause)
+	}
 	p.detach(k)
 }
 
--- a/sardined/peer/peer_test.go
+++ b/sardined/peer/peer_test.go
@@ -74,6 +74,11 @@
 }
 
 func newHost(t testing.TB, a *authority, id ident.HostID, incarnation ident.Incarnation, address string) *host {
+	t.Helper()
+	return newLoggingHost(t, a, id, incarnation, address, slog.New(slog.DiscardHandler))
+}
+
+func newLoggingHost(t testing.TB, a *authority, id ident.HostID, incarnation ident.Incarnation, address string, log *slog.Logger) *host {
 	t.Helper()
 	links, err := New(Config{
 		Host:          id,
@@ -84,7 +89,7 @@
 		HeaderBytes:   4096,
 		BodyBytes:     1 << 20,
 		BufferedBytes: 1 << 24,
-	}, Deps{Metrics: metric.New(), Logger: slog.New(slog.DiscardHandler)})
+	}, Deps{Metrics: metric.New(), Logger: log})
 	assertNoError(t, err)
 	h := &host{Links: links, messages: make(chan received, 1000)}
 	assertNoError(t, links.Start(h))
@@ -192,6 +197,51 @@
 	})
 }
 
+// lines is a log that goroutines share.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) count(words string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), words)
+}
+
+// The loss and the return of another host must be in the log at its usual level, once each, with the cause.
+func TestLinkIsLogged(t *testing.T) {
+	a := newAuthority(t)
+	a.issue(t, "a")
+	a.issue(t, "b")
+	var log lines
+	ha := newLoggingHost(t, a, "a", 1, "127.0.0.1:0", slog.New(slog.NewTextHandler(&log, nil)))
+	hb := newHost(t, a, "b", 2, "127.0.0.1:0")
+	introduce(ha, hb)
+	exchange(t, ha, hb)
+	address := hb.Address().String()
+	hb.Close()
+	for log.count(`msg="link lost" host=b error=`) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	hb = newHost(t, a, "b", 3, address)
+	introduce(ha, hb)
+	exchange(t, ha, hb)
+	if opened, lost := log.count(`msg="link opened" host=b`), log.count("link lost"); opened != 2 || lost != 1 {
+		t.Errorf("opened %d times and lost %d times, want 2 and 1", opened, lost)
+	}
+	ha.Close()
+	if n := log.count("link lost"); n != 1 {
+		t.Errorf("the host's own end logs %d lost links", n-1)
+	}
+}
+
 // The queue for a host that takes nothing must stay bounded and keep the newest messages.
 func TestQueueDropsOldest(t *testing.T) {
 	p := newPeer("b")
