mesh: Send beats in the order in which they are made

Beats are made and sent under one lock now. Ruled out: loss or exchange of datagrams on the way (one host, loopback; the log shows leaving, staying, leaving within a millisecond).

--- a/sardinegate/mesh/mesh.go
+++ b/sardinegate/mesh/mesh.go
@@ -62,6 +62,9 @@
 	// Sent, Received and Invalid count datagrams.
 	Sent, Received, Invalid atomic.Int64
 
+	// beating orders beats: one that is sent later tells a later status.
+	beating sync.Mutex
+
 	mu      sync.Mutex
 	members map[string]*Member
 	// strangers are addresses of hosts that were not heard yet, with the time of their introduction.
@@ -131,10 +134,18 @@
 	}
 }
 
-// Beat sends a beat to all hosts at once.
-func (n *Node) Beat() {
+// present returns the beat that tells the present status. The caller holds beating until it is sent.
+func (n *Node) present() Beat {
 	beat := (*n.status.Load())()
 	beat.DataCentre, beat.Callers = n.self.DataCentre, n.self.Callers
+	return beat
+}
+
+// Beat sends a beat to all hosts at once.
+func (n *Node) Beat() {
+	n.beating.Lock()
+	defer n.beating.Unlock()
+	beat := n.present()
 	now := n.now()
 	n.mu.Lock()
 	var to []netip.AddrPort
@@ -266,8 +277,9 @@
 	}
 	if fresh {
 		n.log.Info("host is alive", "host", m.From, "boot", m.Boot)
-		beat := (*n.status.Load())()
-		beat.DataCentre, beat.Callers = n.self.DataCentre, n.self.Callers
+		n.beating.Lock()
+		defer n.beating.Unlock()
+		beat := n.present()
 		n.send(&Message{Beat: &beat}, from)
 	}
 	return true
--- a/sardinegate/mesh/mesh_test.go
+++ b/sardinegate/mesh/mesh_test.go
@@ -100,6 +100,38 @@
 	}
 }
 
+// Guards against a beat that was made earlier and is sent later: others would take back what they know of the host.
+func TestBeatsKeepTheirOrder(t *testing.T) {
+	p := port(t)
+	var newest, backwards atomic.Int64
+	a := start(t, "a", "127.0.0.1", p, 1, ready, func(m *Message) {
+		if m.Beat == nil {
+			return
+		}
+		if m.Beat.List < newest.Load() {
+			backwards.Add(1)
+		}
+		newest.Store(m.Beat.List)
+	})
+	defer a.Close()
+	var status atomic.Int64
+	b := start(t, "b", "127.0.0.2", p, 1, func() Beat { return Beat{Ready: true, List: status.Add(1)} }, ignore)
+	defer b.Close()
+	b.Introduce(netip.MustParseAddr("127.0.0.1"))
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for range 500 {
+				b.Beat()
+			}
+		})
+	}
+	wg.Wait()
+	if n := backwards.Load(); n > 0 {
+		t.Errorf("%d beats told an earlier status than one before them", n)
+	}
+}
+
 // lockedBuffer is a buffer that goroutines share.
 type lockedBuffer struct {
 	mu  sync.Mutex
