--- a/sardined/peer/peer_test.go
+++ b/sardined/peer/peer_test.go
@@ -227,8 +227,10 @@
 	exchange(t, ha, hb)
 	address := hb.Address().String()
 	hb.Close()
-	for log.count(`msg="link lost" host=b error=`) == 0 {
-		time.Sleep(time.Millisecond)
+	for end := time.Now().Add(10 * time.Second); log.count(`msg="link lost" host=b error=`) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the loss is not logged")
+		}
 	}
 	hb = newHost(t, a, "b", 3, address)
 	introduce(ha, hb)
