watch, broker: Log what moves a host's position and what an owner's time is spent on

A span now carries the digest of the sender's list at its end, so that a receiver that differs logs from whom and at which positions; spans beyond a gap are counted. An owner logs once a second its decisions, probes and waiting requests and the time that each kind of its work took. No decision depends on any of it yet.

--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -3,10 +3,13 @@
 package fleet
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sardinecross.example/lib/route"
 )
 
@@ -53,6 +56,11 @@
 	return u == other
 }
 
+// digest returns a hash of the fields that EqualForRouting compares.
+func (u Upstream) digest() uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%q %q %q %q %d %d %d", u.ID, u.Service, u.Address, u.DataCentre, u.Slots, u.State, u.Started))
+}
+
 // Change is one difference in the list of upstreams.
 type Change struct {
 	ID string `cbor:"1,keyasint"`
@@ -72,14 +80,35 @@
 	// Offset is the position in the store up to which the list is complete.
 	Offset int64
 	// AsOf is when the read that confirmed Offset was sent.
-	AsOf     time.Duration
+	AsOf time.Duration
+	// entries holds the upstreams in use.
 	entries  map[string]Upstream
 	removeAt map[string]time.Duration // when lapsed entries are removed, by upstream ID
+	// recorded holds the last record of each upstream up to Offset, in the order of the store. An entry in use differs
+	// from it if it has lapsed or if its record came after one with a later report.
+	recorded map[string]Upstream
+	// digest is the exclusive or of the digests of all upstreams in recorded.
+	digest uint64
 }
 
 // NewList returns an empty list at position 0.
 func NewList() *List {
-	return &List{entries: make(map[string]Upstream), removeAt: make(map[string]time.Duration)}
+	return &List{entries: make(map[string]Upstream), removeAt: make(map[string]time.Duration), recorded: make(map[string]Upstream)}
+}
+
+// Digest returns a hash of the last record of each upstream up to Offset. Lists at the same position have the same digest.
+func (l *List) Digest() uint64 { return l.digest }
+
+// record updates recorded and digest by a change. u is nil if the upstream was removed.
+func (l *List) record(id string, u *Upstream) {
+	if old, ok := l.recorded[id]; ok {
+		l.digest ^= old.digest()
+		delete(l.recorded, id)
+	}
+	if u != nil {
+		l.recorded[id] = *u
+		l.digest ^= u.digest()
+	}
 }
 
 // Apply applies the changes between the positions from and to, read from the store at asOf. It returns false and
@@ -89,6 +118,7 @@
 		return false
 	}
 	for _, c := range changes {
+		l.record(c.ID, c.Upstream)
 		l.applyChange(now, c)
 	}
 	l.Offset = to
@@ -100,7 +130,10 @@
 // are removed, after LapseGrace if lapsed is set.
 func (l *List) Replace(now, asOf time.Duration, to int64, entries []Upstream, lapsed bool) {
 	listed := make(map[string]struct{}, len(entries))
+	clear(l.recorded)
+	l.digest = 0
 	for i := range entries {
+		l.record(entries[i].ID, &entries[i])
 		listed[entries[i].ID] = struct{}{}
 		l.applyChange(now, Change{ID: entries[i].ID, Upstream: &entries[i]})
 	}
--- a/lib/grant/pick.go
+++ b/lib/grant/pick.go
@@ -150,6 +150,15 @@
 	return out
 }
 
+// Waiting returns the number of queued requests of all services.
+func (s *State) Waiting() int {
+	n := 0
+	for _, svc := range s.services {
+		n += len(svc.queue)
+	}
+	return n
+}
+
 // takeRetry takes a retry from the budget b and reports whether there was one left.
 func (s *State) takeRetry(now time.Duration, b *retryBudget, withoutOwner bool) bool {
 	ratio, slack := s.cfg.RetryRatio*ownerRetryShare, s.cfg.RetrySlack*ownerRetryShare
--- a/sardinegate/broker/broker.go
+++ b/sardinegate/broker/broker.go
@@ -77,6 +77,7 @@
 	suspectUntil map[string]time.Duration
 	ownerOrders  map[string]ownerOrder
 	probes       map[string]*probeState
+	work         ownerWork
 }
 
 // New starts a broker with its background tasks.
@@ -247,6 +248,8 @@
 	case m.AttemptRequest != nil:
 		b.mu.Lock()
 		sel := b.state.Decide(now, rand.Float64(), *m.AttemptRequest)
+		b.work.decisions++
+		b.work.deciding += b.now() - now
 		b.mu.Unlock()
 		b.sendSelection(m.AttemptRequest.ID, sel)
 	case m.SelectionReply != nil:
@@ -315,7 +318,9 @@
 // decideQueued sends the selections for queued requests that can be decided now.
 func (b *Broker) decideQueued() {
 	b.mu.Lock()
-	selections := b.state.DecideQueued(b.now(), rand.Float64())
+	now := b.now()
+	selections := b.state.DecideQueued(now, rand.Float64())
+	b.work.queue += b.now() - now
 	b.mu.Unlock()
 	b.sendSelections(selections)
 }
@@ -323,7 +328,9 @@
 // offerHedges offers hedges for attempts that will probably miss their latency target.
 func (b *Broker) offerHedges() {
 	b.mu.Lock()
-	hedges := b.state.OfferHedges(b.now(), rand.Float64())
+	now := b.now()
+	hedges := b.state.OfferHedges(now, rand.Float64())
+	b.work.hedges += b.now() - now
 	b.mu.Unlock()
 	b.sendSelections(hedges)
 }
--- a/sardinegate/broker/probe.go
+++ b/sardinegate/broker/probe.go
@@ -42,6 +42,7 @@
 		}
 		b.decideQueued()
 		b.offerHedges()
+		b.logWork()
 	}
 }
 
@@ -55,6 +56,7 @@
 	now := b.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	defer func() { b.work.probing += b.now() - now }()
 	for id := range b.probes {
 		if _, ok := v.Upstreams[id]; !ok {
 			delete(b.probes, id)
@@ -77,6 +79,7 @@
 		p.running, p.lastSent, p.nextDue = true, now, max(p.nextDue+b.deps.ProbeInterval, now+b.deps.ProbeInterval/2)
 		b.state.RecordProbe(now, id)
 		b.Probes.Add(1)
+		b.work.probes++
 		b.wg.Go(func() { b.probe(ctx, p, u, svc.HealthPath) })
 	}
 	return owns
--- a/sardinegate/gate.go
+++ b/sardinegate/gate.go
@@ -168,6 +168,8 @@
 	return stats.New(
 		stats.Gauge{Name: "store_calls_total", Read: count(&g.watcher.StoreCalls)},
 		stats.Gauge{Name: "store_calls_failed_total", Read: count(&g.watcher.FailedStoreCalls)},
+		stats.Gauge{Name: "spans_beyond_gap_total", Read: count(&g.watcher.SpansBeyondGap)},
+		stats.Gauge{Name: "list_differences_total", Read: count(&g.watcher.ListDifferences)},
 		stats.Gauge{Name: "upstream_list_age_seconds", Read: func() float64 { _, age := g.watcher.Ages(); return age.Seconds() }},
 		stats.Gauge{Name: "configuration_age_seconds", Read: func() float64 { age, _ := g.watcher.Ages(); return age.Seconds() }},
 		stats.Gauge{Name: "configuration_version", Read: func() float64 {
--- a/sardinegate/mesh/message.go
+++ b/sardinegate/mesh/message.go
@@ -70,6 +70,8 @@
 type ListChanges struct {
 	Span    Span           `cbor:"1,keyasint"`
 	Changes []fleet.Change `cbor:"2,keyasint,omitempty"`
+	// Digest is the digest of the sender's list at the end of the span; see fleet.List.Digest.
+	Digest uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // OperatorRecords holds the operators' records within a span.
--- a/sardinegate/watch/list.go
+++ b/sardinegate/watch/list.go
@@ -18,7 +18,7 @@
 		apply: func(asOf time.Duration, from, to int64, records []fleet.Record) {
 			changes := w.effectiveChanges(records)
 			if w.applyListChanges(asOf, from, to, changes) {
-				w.deps.Node.Broadcast(&mesh.Message{ListChanges: &mesh.ListChanges{Span: mesh.Span{From: from, To: to, Age: w.now() - asOf}, Changes: changes}})
+				w.sendListChanges(asOf, from, to, changes)
 			}
 		},
 		loaded: func() bool { return w.View().Listed },
@@ -26,6 +26,37 @@
 	}
 }
 
+// sendListChanges sends the changes that this host read between the positions from and to to all live hosts. w.mu must be
+// held.
+func (w *Watcher) sendListChanges(asOf time.Duration, from, to int64, changes []fleet.Change) {
+	if len(changes) > 0 {
+		w.deps.Log.Info("changes of upstreams sent", "from", from, "to", to, "changes", len(changes))
+	}
+	w.deps.Node.Broadcast(&mesh.Message{ListChanges: &mesh.ListChanges{
+		Span:    mesh.Span{From: from, To: to, Age: w.now() - asOf},
+		Changes: changes,
+		Digest:  w.list.Digest(),
+	}})
+}
+
+// handleListChanges applies the changes that another host has read and sent. w.mu must be held.
+func (w *Watcher) handleListChanges(host string, l *mesh.ListChanges) {
+	position := w.list.Offset
+	w.countGap(l.Span, position)
+	if !w.applyListChanges(w.now()-l.Span.Age, l.Span.From, l.Span.To, l.Changes) {
+		return
+	}
+	if len(l.Changes) > 0 {
+		w.deps.Log.Info("changes of upstreams received", "host", host, "position", position, "from", l.Span.From, "to", l.Span.To,
+			"changes", len(l.Changes), "ageMs", l.Span.Age.Milliseconds())
+	}
+	if l.Digest != w.list.Digest() {
+		w.ListDifferences.Add(1)
+		w.deps.Log.Warn("list of upstreams differs from another host's", "host", host, "position", position, "from", l.Span.From,
+			"to", l.Span.To, "changes", len(l.Changes))
+	}
+}
+
 // expire removes lapsed upstreams whose grace period has passed.
 func (w *Watcher) expire() {
 	w.mu.Lock()
--- a/sardinegate/watch/watch.go
+++ b/sardinegate/watch/watch.go
@@ -42,6 +42,9 @@
 
 	// StoreCalls counts calls to the store, FailedStoreCalls those that failed.
 	StoreCalls, FailedStoreCalls atomic.Int64
+	// SpansBeyondGap counts the spans from other hosts that begin after this host's position. ListDifferences counts those
+	// after which this host's list of upstreams differed from the sender's.
+	SpansBeyondGap, ListDifferences atomic.Int64
 
 	mu   sync.Mutex
 	list *fleet.List
@@ -111,13 +114,21 @@
 	defer w.mu.Unlock()
 	v := w.view.Load()
 	if l := m.ListChanges; l != nil && v.Listed {
-		w.applyListChanges(w.now()-l.Span.Age, l.Span.From, l.Span.To, l.Changes)
+		w.handleListChanges(m.From, l)
 	}
 	if o := m.OperatorRecords; o != nil && v.Routes != nil {
+		w.countGap(o.Span, w.operatorsPosition)
 		w.applyOperatorRecords(w.now()-o.Span.Age, o.Span.From, o.Span.To, o.Records)
 	}
 }
 
+// countGap counts a span that begins after the position that this host knows.
+func (w *Watcher) countGap(s mesh.Span, position int64) {
+	if s.From > position {
+		w.SpansBeyondGap.Add(1)
+	}
+}
+
 // publish makes v the current view and calls OnViewChange. w.mu must be held.
 func (w *Watcher) publish(v *fleet.View) {
 	w.view.Store(v)
