watch: Add failing tests for changes that hosts never apply

TestSpanSentTellsAllChangesOfItsPositions shows the smallest case: a span is sent for positions whose changes it leaves out, because another host's span with them was applied during the read. The watcher takes its node through an interface, so that the tests can replace the network.

--- /dev/null
+++ b/sardinegate/watch/model_test.go
@@ -0,0 +1,277 @@
+package watch
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sardinecross.example/lib/fleet"
+	"sardinecross.example/sardinegate/mesh"
+)
+
+// bus connects watchers without a network. It loses messages with probability loss and delays the others by up to
+// maxDelay. Messages are also passed to sent, if it is set.
+type bus struct {
+	loss     float64
+	maxDelay time.Duration
+	sent     func(m *mesh.Message)
+
+	mu       sync.Mutex
+	rnd      *rand.Rand
+	watchers map[string]*Watcher
+}
+
+// float returns a random number in [0,1).
+func (b *bus) float() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rnd.Float64()
+}
+
+// busNode is the node of one host on a bus.
+type busNode struct {
+	*bus
+	host string
+}
+
+var _ Node = busNode{}
+
+// Alive returns all other hosts. It tells no positions, so that nothing is copied from them.
+func (n busNode) Alive() []mesh.Member {
+	var out []mesh.Member
+	for _, host := range hostNames(len(n.watchers)) {
+		if host != n.host {
+			out = append(out, mesh.Member{Host: host})
+		}
+	}
+	return out
+}
+
+func (n busNode) Broadcast(m *mesh.Message) {
+	m.From = n.host
+	if n.sent != nil {
+		n.sent(m)
+	}
+	for host, w := range n.watchers {
+		if host == n.host || n.float() < n.loss {
+			continue
+		}
+		delay := time.Duration(n.float() * float64(n.maxDelay))
+		time.AfterFunc(delay, func() { w.Handle(m) })
+	}
+}
+
+func (busNode) AddAddress(netip.Addr) {}
+func (busNode) SendHeartbeat()        {}
+
+func hostNames(n int) []string {
+	names := make([]string, n)
+	for i := range names {
+		names[i] = fmt.Sprintf("h%02d", i)
+	}
+	return names
+}
+
+// startHosts starts n watchers on the bus that read s.
+func startHosts(t *testing.T, b *bus, s fleet.Source, n int) {
+	b.watchers = make(map[string]*Watcher)
+	for _, host := range hostNames(n) {
+		b.watchers[host] = New(Deps{
+			Host: host, IP: netip.MustParseAddr("127.0.0.1"), Source: s, Node: busNode{b, host},
+			Log: slog.New(slog.DiscardHandler), OnViewChange: func(*fleet.View) {},
+		})
+	}
+	for _, w := range b.watchers {
+		w.Start()
+		t.Cleanup(w.Close)
+	}
+}
+
+// slowSource delays each read of the store on the way there and on the way back.
+type slowSource struct {
+	*memorySource
+	b *bus
+}
+
+func (s slowSource) Read(ctx context.Context, stream fleet.Stream, from int64) ([]fleet.Record, int64, error) {
+	s.wait()
+	defer s.wait()
+	return s.memorySource.Read(ctx, stream, from)
+}
+
+func (s slowSource) Newest(ctx context.Context, stream fleet.Stream) ([]fleet.Record, int64, error) {
+	s.wait()
+	defer s.wait()
+	return s.memorySource.Newest(ctx, stream)
+}
+
+func (s slowSource) wait() { time.Sleep(time.Duration(s.b.float() * float64(30*time.Millisecond))) }
+
+// recordedStates returns, for each position of the stream of upstreams, the last record of each upstream before it.
+func recordedStates(s *memorySource) []map[string]fleet.Upstream {
+	states := []map[string]fleet.Upstream{{}}
+	for _, r := range s.records[fleet.Upstreams] {
+		next := make(map[string]fleet.Upstream)
+		for id, u := range states[len(states)-1] {
+			next[id] = u
+		}
+		if u, err := s.DecodeUpstream(r); err == nil {
+			next[r.Key] = u
+		} else {
+			delete(next, r.Key)
+		}
+		states = append(states, next)
+	}
+	return states
+}
+
+// assertListAsRecorded fails the test if a host's list differs in a field that matters for routing from what the store
+// held at the host's position.
+func assertListAsRecorded(t *testing.T, host string, w *Watcher, states []map[string]fleet.Upstream) {
+	t.Helper()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.view.Load().Listed {
+		return
+	}
+	want := states[w.list.Offset]
+	for id, u := range want {
+		if got, ok := w.list.Get(id); !ok || !got.EqualForRouting(u) {
+			t.Fatalf("host %s at position %d lists %+v (listed: %t), the store held %+v there", host, w.list.Offset, got, ok, u)
+		}
+	}
+	for _, u := range w.list.Entries() {
+		if _, ok := want[u.ID]; !ok {
+			t.Fatalf("host %s at position %d lists upstream %s, which the store had removed", host, w.list.Offset, u.ID)
+		}
+	}
+}
+
+// Guards against hosts that move past changes of the list of upstreams which they never applied, and so send requests to
+// upstreams that have left. Messages between hosts are lost, late and out of order; reads overlap.
+func TestHostsListWhatTheStoreHeldAtTheirPosition(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const (
+					upstreams = 30
+					steps     = 200
+					// maxAge is drain-s of the sites with the strictest bound.
+					maxAge = 2 * time.Second
+				)
+				rnd := rand.New(rand.NewPCG(seed, 18))
+				b := &bus{loss: 0.4, maxDelay: 80 * time.Millisecond, rnd: rand.New(rand.NewPCG(seed, 19))}
+				s := newMemorySource()
+				s.put(fleet.Operators, "config", 1)
+				started := make([]int64, upstreams)
+				start := time.Now()
+				ends := map[time.Duration]int64{}
+				startHosts(t, b, slowSource{s, b}, 12)
+				for step := range int64(steps) {
+					for i := range started {
+						id := fmt.Sprintf("u%02d", i)
+						switch p := rnd.Float64(); {
+						case started[i] == 0 && p < 0.1:
+							started[i] = step + 1
+							s.put(fleet.Upstreams, id, fleet.Upstream{ID: id, Service: "s", Slots: 1, Started: started[i], ReportNumber: step})
+						case started[i] == 0:
+						case p < 0.02:
+							s.put(fleet.Upstreams, id, fleet.Upstream{ID: id, Service: "s", Slots: 1, State: fleet.Leaving, Started: started[i], ReportNumber: step})
+						case p < 0.03:
+							s.put(fleet.Upstreams, id, nil)
+							started[i] = 0
+						case p < 0.1: // a renewal that changes nothing
+							s.locked(func() {
+								for n := len(s.records[fleet.Upstreams]) - 1; n >= 0; n-- {
+									if r := s.records[fleet.Upstreams][n]; r.Key == id {
+										s.records[fleet.Upstreams] = append(s.records[fleet.Upstreams], r)
+										return
+									}
+								}
+							})
+						}
+					}
+					s.locked(func() { ends[time.Since(start)] = int64(len(s.records[fleet.Upstreams])) })
+					time.Sleep(50 * time.Millisecond)
+					var states []map[string]fleet.Upstream
+					s.locked(func() { states = recordedStates(s) })
+					for host, w := range b.watchers {
+						assertListAsRecorded(t, host, w, states)
+						if _, position := w.Positions(); time.Since(start) > maxAge && position < ends[time.Since(start)-maxAge] {
+							t.Fatalf("host %s is at position %d, which is more than %v old", host, position, maxAge)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a span that covers changes without telling them: a second host reads the same positions, applies the
+// span of the first one before its own read ends, and must not send these positions without the changes.
+func TestSpanSentTellsAllChangesOfItsPositions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newMemorySource()
+		s.put(fleet.Operators, "config", 1)
+		s.put(fleet.Upstreams, "a", upstream("a"))
+		b := &bus{rnd: rand.New(rand.NewPCG(1, 1))}
+		var sent []*mesh.ListChanges
+		b.sent = func(m *mesh.Message) {
+			if m.ListChanges != nil {
+				sent = append(sent, m.ListChanges)
+			}
+		}
+		source := &hookedSource{memorySource: s}
+		startHosts(t, b, source, 1)
+		w := b.watchers["h00"]
+		eventually(t, "the first view", func() bool { return version(w) == 1 && w.View().Listed })
+		source.afterRead(func() {
+			w.Handle(&mesh.Message{From: "h01", ListChanges: &mesh.ListChanges{
+				Span: mesh.Span{From: 1, To: 2}, Changes: []fleet.Change{{ID: "a"}},
+			}})
+		})
+		s.put(fleet.Upstreams, "a", nil)
+		s.put(fleet.Upstreams, "b", upstream("b"))
+		eventually(t, "the change that only this host has read", func() bool { _, ok := w.View().Upstreams["b"]; return ok })
+		synctest.Wait()
+		for _, l := range sent {
+			if l.Span.From < 2 && l.Span.To >= 2 && (len(l.Changes) == 0 || l.Changes[0].ID != "a") {
+				t.Fatalf("the span from %d to %d was sent with the changes %+v, without the removal of upstream a at position 1", l.Span.From, l.Span.To, l.Changes)
+			}
+		}
+	})
+}
+
+// hookedSource calls a function once between the next read of the stream of upstreams that returns records and its return.
+type hookedSource struct {
+	*memorySource
+	mu   sync.Mutex
+	hook func()
+}
+
+func (s *hookedSource) afterRead(hook func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hook = hook
+}
+
+func (s *hookedSource) Read(ctx context.Context, stream fleet.Stream, from int64) ([]fleet.Record, int64, error) {
+	records, next, err := s.memorySource.Read(ctx, stream, from)
+	if stream != fleet.Upstreams || len(records) == 0 {
+		return records, next, err
+	}
+	s.mu.Lock()
+	hook := s.hook
+	s.hook = nil
+	s.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
+	return records, next, err
+}
--- a/sardinegate/watch/watch.go
+++ b/sardinegate/watch/watch.go
@@ -19,13 +19,24 @@
 // due to the outage instead of the upstream.
 const outageWindow = 2500 * time.Millisecond
 
+// Node exchanges messages with the other hosts; see mesh.Node.
+type Node interface {
+	// Alive returns the other hosts that are alive, sorted by name.
+	Alive() []mesh.Member
+	// Broadcast sends a message to all hosts that are alive. It may be lost.
+	Broadcast(m *mesh.Message)
+	// AddAddress adds the address of a host that may be alive, and SendHeartbeat sends a heartbeat to all known addresses.
+	AddAddress(addr netip.Addr)
+	SendHeartbeat()
+}
+
 // Deps holds the dependencies of a watcher.
 type Deps struct {
 	// Host and IP are the name and the address of this host.
 	Host   string
 	IP     netip.Addr
 	Source fleet.Source
-	Node   *mesh.Node
+	Node   Node
 	Log    *slog.Logger
 	// OnViewChange is called with each new view. Calls do not overlap.
 	OnViewChange func(*fleet.View)
