watch: Begin a span at the position of the list that its changes belong to

A host that reads the store sends the others only the changes that its own list lacks, but the span that it sent began where the read began. The changes are now those of the records after the list's position, and the span begins there; a host that is further behind sees a gap and reads for itself. TestSpanSentTellsAllChangesOfItsPositions failed before and passes. The test of 12 hosts still fails, on hosts that are ahead of the span's beginning; it stays listed.

--- a/sardinegate/watch/list.go
+++ b/sardinegate/watch/list.go
@@ -15,17 +15,26 @@
 		position: func() int64 { _, p := w.Positions(); return p },
 		age:      func() time.Duration { _, age := w.Ages(); return age },
 		replace:  w.replaceList,
-		apply: func(asOf time.Duration, from, to int64, records []fleet.Record) {
-			changes := w.effectiveChanges(records)
-			if w.applyListChanges(asOf, from, to, changes) {
-				w.sendListChanges(asOf, from, to, changes)
-			}
-		},
+		apply:    w.applyListRecords,
 		loaded: func() bool { return w.View().Listed },
 		expire: w.expire,
 	}
 }
 
+// applyListRecords applies the records between the positions from and to that this host has read, and sends the changes to
+// the other hosts. It does nothing if the known position is not between them. w.mu must be held.
+func (w *Watcher) applyListRecords(asOf time.Duration, from, to int64, records []fleet.Record) {
+	position := w.list.Offset
+	if from > position || to < position {
+		return
+	}
+	// The changes are those to the list at its present position, which a span of another host may have moved during the
+	// read. The span that is sent must not begin earlier: a host there would miss the changes before the position.
+	changes := w.effectiveChanges(records[position-from:])
+	w.applyListChanges(asOf, position, to, changes)
+	w.sendListChanges(asOf, position, to, changes)
+}
+
 // sendListChanges sends the changes that this host read between the positions from and to to all live hosts. w.mu must be
 // held.
 func (w *Watcher) sendListChanges(asOf time.Duration, from, to int64, changes []fleet.Change) {
