watch: Keep a change in a span if any host within the span lists something else

A change and its reversal between two positions cancelled out for the host that read both, so it sent neither, while a host that stood between them had applied the first and moved past the second. An upstream is now left out only if none of its records in the span would change the list; otherwise its last record is sent, which is right for each host from the span's first to its last position. It computes the store's states once, in place of once a step.

--- a/sardinegate/watch/list.go
+++ b/sardinegate/watch/list.go
@@ -95,44 +95,56 @@
 	w.publishList()
 }
 
-// effectiveChanges reduces records to the last change of each upstream and leaves out those that would not change the
-// list. w.mu must be held.
+// effectiveChanges returns the last change of each upstream that has a record which would change the list. An upstream
+// whose last record restores what is listed is included, because a host between the positions of the records lists
+// something else. w.mu must be held.
 func (w *Watcher) effectiveChanges(records []fleet.Record) []fleet.Change {
-	lapsed := w.inOutageWindow()
 	last := make(map[string]fleet.Change)
-	var ids []string
+	var changed []string
 	for _, r := range records {
 		if r.Key == "" {
 			w.deps.Log.Warn("entry not used", "reason", "no key")
 			continue
 		}
+		c := w.decodeChange(r)
 		if _, ok := last[r.Key]; !ok {
-			ids = append(ids, r.Key)
+			if w.isListed(c) {
+				continue
+			}
+			changed = append(changed, r.Key)
 		}
-		if len(r.Value) == 0 {
-			last[r.Key] = fleet.Change{ID: r.Key, Lapsed: lapsed}
-			continue
-		}
-		u, err := w.deps.Source.DecodeUpstream(r)
-		if err != nil {
-			w.deps.Log.Warn("entry not used", "upstream", r.Key, "error", err)
-			last[r.Key] = fleet.Change{ID: r.Key}
-			continue
-		}
-		last[r.Key] = fleet.Change{ID: r.Key, Upstream: &u}
+		last[r.Key] = c
 	}
-	var changes []fleet.Change
-	for _, id := range ids {
-		c := last[id]
-		current, listed := w.list.Get(id)
-		if c.Upstream == nil && !listed || c.Upstream != nil && listed && current.EqualForRouting(*c.Upstream) && !w.list.Lapsing(id) {
-			continue
-		}
-		changes = append(changes, c)
+	changes := make([]fleet.Change, 0, len(changed))
+	for _, id := range changed {
+		changes = append(changes, last[id])
 	}
 	return changes
 }
 
+// decodeChange returns the change that a record makes to the list. A record that cannot be used removes its upstream.
+// w.mu must be held.
+func (w *Watcher) decodeChange(r fleet.Record) fleet.Change {
+	if len(r.Value) == 0 {
+		return fleet.Change{ID: r.Key, Lapsed: w.inOutageWindow()}
+	}
+	u, err := w.deps.Source.DecodeUpstream(r)
+	if err != nil {
+		w.deps.Log.Warn("entry not used", "upstream", r.Key, "error", err)
+		return fleet.Change{ID: r.Key}
+	}
+	return fleet.Change{ID: r.Key, Upstream: &u}
+}
+
+// isListed reports whether the list is already as c makes it. w.mu must be held.
+func (w *Watcher) isListed(c fleet.Change) bool {
+	current, listed := w.list.Get(c.ID)
+	if c.Upstream == nil {
+		return !listed
+	}
+	return listed && current.EqualForRouting(*c.Upstream) && !w.list.Lapsing(c.ID)
+}
+
 // applyListChanges applies the changes between the positions from and to. It returns false and changes nothing if the
 // known position is not between them. w.mu must be held.
 func (w *Watcher) applyListChanges(asOf time.Duration, from, to int64, changes []fleet.Change) bool {
--- a/sardinegate/watch/model_test.go
+++ b/sardinegate/watch/model_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -113,14 +114,13 @@
 
 func (s slowSource) wait() { time.Sleep(time.Duration(s.b.float() * float64(30*time.Millisecond))) }
 
-// recordedStates returns, for each position of the stream of upstreams, the last record of each upstream before it.
-func recordedStates(s *memorySource) []map[string]fleet.Upstream {
-	states := []map[string]fleet.Upstream{{}}
-	for _, r := range s.records[fleet.Upstreams] {
-		next := make(map[string]fleet.Upstream)
-		for id, u := range states[len(states)-1] {
-			next[id] = u
-		}
+// appendRecordedStates extends states, which holds for each position of the stream of upstreams the last record of each
+// upstream before it, by the records that were written since.
+func appendRecordedStates(s *memorySource, states []map[string]fleet.Upstream) []map[string]fleet.Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.records[fleet.Upstreams][len(states)-1:] {
+		next := maps.Clone(states[len(states)-1])
 		if u, err := s.DecodeUpstream(r); err == nil {
 			next[r.Key] = u
 		} else {
@@ -172,6 +172,7 @@
 				started := make([]int64, upstreams)
 				start := time.Now()
 				ends := map[time.Duration]int64{}
+				states := []map[string]fleet.Upstream{{}}
 				startHosts(t, b, slowSource{s, b}, 12)
 				for step := range int64(steps) {
 					for i := range started {
@@ -199,8 +200,7 @@
 					}
 					s.locked(func() { ends[time.Since(start)] = int64(len(s.records[fleet.Upstreams])) })
 					time.Sleep(50 * time.Millisecond)
-					var states []map[string]fleet.Upstream
-					s.locked(func() { states = recordedStates(s) })
+					states = appendRecordedStates(s, states)
 					for host, w := range b.watchers {
 						assertListAsRecorded(t, host, w, states)
 						if _, position := w.Positions(); time.Since(start) > maxAge && position < ends[time.Since(start)-maxAge] {
