--- a/lib/fleet/source.go
+++ b/lib/fleet/source.go
@@ -48,7 +48,7 @@
 	// Read returns the records of a stream from a position on and the position after them. The error is a GapError if
 	// records at that position were deleted.
 	Read(ctx context.Context, stream Stream, from int64) ([]Record, int64, error)
-	// Newest returns the newest record of each key and the position up to which they are complete.
+	// Newest returns the newest record of each key as of one position, and that position.
 	Newest(ctx context.Context, stream Stream) ([]Record, int64, error)
 	// Write appends a record to a stream.
 	Write(ctx context.Context, stream Stream, r Record) error
--- a/sardinegate/watch/follow.go
+++ b/sardinegate/watch/follow.go
@@ -67,7 +67,7 @@
 		switch {
 		case err == nil:
 			positionRead, deletedFrom, failures = true, -1, 0
-		case errors.As(err, &gap):
+		case canResume && errors.As(err, &gap):
 			w.deps.Log.Info("records were deleted", "stream", s.name, "from", gap.From)
 			positionRead, deletedFrom = false, gap.From
 		default:
