watch: Check under the mutex that newest records are not from before the known position

A host compared the position of the newest records with its own before it locked the mutex to apply them. A span of another host in between would have moved the position on, and the older records would then have moved it back, with upstreams that had been removed since and data centres back in service. The comparison is now made where the records are applied, with the mutex held. The test covers the refusal; the window between comparison and lock was too short to be hit by a test on the code before.

--- a/sardinegate/watch/follow.go
+++ b/sardinegate/watch/follow.go
@@ -34,9 +34,10 @@
 	// confirmed the position was sent. Both are called without w.mu held.
 	position func() int64
 	age      func() time.Duration
-	// replace replaces what is known by the newest records of all keys, complete up to position to. apply applies the
-	// records between the positions from and to. The read was sent at asOf. Both are called with w.mu held.
-	replace func(asOf time.Duration, to int64, records []fleet.Record)
+	// replace replaces what is known by the newest records of all keys as of position to. It fails with a StaleError if the
+	// known position is after it. apply applies the records between the positions from and to. The read was sent at asOf.
+	// Both are called with w.mu held.
+	replace func(asOf time.Duration, to int64, records []fleet.Record) error
 	apply   func(asOf time.Duration, from, to int64, records []fleet.Record)
 	// loaded reports whether the view contains the data of the stream.
 	loaded func() bool
@@ -114,13 +115,9 @@
 	if err != nil {
 		return err
 	}
-	if have := s.position(); end < have {
-		return &StaleError{Have: have, Got: end}
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	s.replace(asOf, end, records)
-	return nil
+	return s.replace(asOf, end, records)
 }
 
 // readChanges reads and applies the records of a stream from the known position on.
--- a/sardinegate/watch/list.go
+++ b/sardinegate/watch/list.go
@@ -16,8 +16,8 @@
 		age:      func() time.Duration { _, age := w.Ages(); return age },
 		replace:  w.replaceList,
 		apply:    w.applyListRecords,
-		loaded: func() bool { return w.View().Listed },
-		expire: w.expire,
+		loaded:   func() bool { return w.View().Listed },
+		expire:   w.expire,
 	}
 }
 
@@ -79,8 +79,12 @@
 // publishList publishes a view with the current list of upstreams. w.mu must be held.
 func (w *Watcher) publishList() { w.publish(w.view.Load().WithUpstreams(w.list.Entries())) }
 
-// replaceList replaces the list by the newest records of all upstreams, complete up to position to. w.mu must be held.
-func (w *Watcher) replaceList(asOf time.Duration, to int64, records []fleet.Record) {
+// replaceList replaces the list by the newest records of all upstreams as of position to. It fails with a StaleError if the
+// list is beyond that position. w.mu must be held.
+func (w *Watcher) replaceList(asOf time.Duration, to int64, records []fleet.Record) error {
+	if to < w.list.Offset {
+		return &StaleError{Have: w.list.Offset, Got: to}
+	}
 	var entries []fleet.Upstream
 	for _, r := range records {
 		u, err := w.deps.Source.DecodeUpstream(r)
@@ -93,6 +97,7 @@
 	w.list.Replace(w.now(), asOf, to, entries, w.inOutageWindow())
 	w.deps.Log.Info("list of upstreams read", "upstreams", len(entries), "offset", to)
 	w.publishList()
+	return nil
 }
 
 // effectiveChanges returns the last change of each upstream that has a record which would change the list. An upstream
--- a/sardinegate/watch/operators.go
+++ b/sardinegate/watch/operators.go
@@ -25,9 +25,12 @@
 	}
 }
 
-// replaceOperatorRecords applies the newest records of all keys, complete up to position to. Known keys that are missing
-// from them are removed. w.mu must be held.
-func (w *Watcher) replaceOperatorRecords(asOf time.Duration, to int64, records []fleet.Record) {
+// replaceOperatorRecords applies the newest records of all keys as of position to. Known keys that are missing from them
+// are removed. It fails with a StaleError if the known position is after to. w.mu must be held.
+func (w *Watcher) replaceOperatorRecords(asOf time.Duration, to int64, records []fleet.Record) error {
+	if to < w.operatorsPosition {
+		return &StaleError{Have: w.operatorsPosition, Got: to}
+	}
 	newestKeys := make(map[string]struct{}, len(records))
 	for _, r := range records {
 		newestKeys[r.Key] = struct{}{}
@@ -39,6 +42,7 @@
 	}
 	w.applyOperatorChanges(records)
 	w.operatorsPosition, w.operatorsAsOf = to, max(w.operatorsAsOf, asOf)
+	return nil
 }
 
 // applyOperatorRecords applies the records between the positions from and to that are not applied yet. It returns false
--- a/sardinegate/watch/peers.go
+++ b/sardinegate/watch/peers.go
@@ -89,7 +89,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if snapshot.OperatorsPosition > w.operatorsPosition {
-		w.replaceOperatorRecords(w.now()-snapshot.OperatorsAge, snapshot.OperatorsPosition, snapshot.OperatorRecords)
+		if err := w.replaceOperatorRecords(w.now()-snapshot.OperatorsAge, snapshot.OperatorsPosition, snapshot.OperatorRecords); err != nil {
+			return err
+		}
 		w.deps.Log.Info("operators' records taken from a host", "host", m.Host, "position", snapshot.OperatorsPosition)
 	}
 	if snapshot.Listed && (!w.view.Load().Listed || snapshot.ListPosition > w.list.Offset) {
--- a/sardinegate/watch/watch_test.go
+++ b/sardinegate/watch/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"log/slog"
 	"net/netip"
@@ -217,3 +218,26 @@
 		t.Fatalf("version %d in force after a second span for the same positions, want 8", v)
 	}
 }
+
+// Guards against a list that goes back to an earlier position: while a host reads the newest records, a span of another host
+// moves it past the position that these are from.
+func TestNewestRecordsFromBeforeThePositionAreRefused(t *testing.T) {
+	s := newMemorySource()
+	s.put(fleet.Operators, "config", 1)
+	s.put(fleet.Upstreams, "a", upstream("a"))
+	w := startWatcher(t, s)
+	eventually(t, "the first view", func() bool { return version(w) == 1 && w.View().Listed })
+	w.Handle(&mesh.Message{From: "x", ListChanges: &mesh.ListChanges{Span: mesh.Span{From: 1, To: 9}, Changes: []fleet.Change{{ID: "a"}}}})
+	w.Handle(&mesh.Message{From: "x", OperatorRecords: &mesh.OperatorRecords{
+		Span: mesh.Span{From: 1, To: 2}, Records: []fleet.Record{{Key: "passau", Value: []byte("1")}},
+	}})
+	for _, st := range []stream{w.upstreamStream(), w.operatorStream()} {
+		var stale *StaleError
+		if err := w.readNewest(t.Context(), st); !errors.As(err, &stale) {
+			t.Errorf("got error %v from reading older %s, want a StaleError", err, st.name)
+		}
+	}
+	if v := w.View(); len(v.Upstreams) != 0 || len(v.DataCentresOut) != 1 {
+		t.Errorf("after reading older records: %d upstreams, %d data centres out of service, want 0 and 1", len(v.Upstreams), len(v.DataCentresOut))
+	}
+}
