fleet, watch: Compare and copy what the store holds, not what a host has in use

The entries that a host has in use can differ from the store's at the same position: an entry that has lapsed is kept for two seconds, and an older report that was written late does not replace a later one. A host in that state left out changes that others needed, and a host that copied its list took lapsed upstreams for listed ones, for good. List now holds the last record of each upstream beside the entries in use; spans leave out what that record already says, and a copy carries both, with the time that lapsed entries have left. List moves to its own file.

--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -70,3 +70,35 @@
 	assertListed(t, l, "a", false)
 	assertListed(t, l, "b", true)
 }
+
+// Guards against upstreams that are gone but stay listed for good on a host that copied the list from another one: an entry
+// that has lapsed there must lapse here as well.
+func TestLapsedEntriesLapseInACopy(t *testing.T) {
+	l, c := NewList(), NewList()
+	l.Apply(0, 0, 0, 2, []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}, {ID: "b", Upstream: newEntry("b", 1, 1)}})
+	l.Apply(0, 0, 2, 3, []Change{{ID: "a", Lapsed: true}})
+	c.Restore(time.Minute, l.Snapshot(LapseGrace/2), false)
+	assertListed(t, c, "a", true)
+	if c.Offset != 3 || c.Digest() != l.Digest() {
+		t.Fatalf("the copy is at position %d with digest %x, want 3 and %x", c.Offset, c.Digest(), l.Digest())
+	}
+	c.Expire(time.Minute + LapseGrace/2)
+	assertListed(t, c, "a", false)
+	assertListed(t, c, "b", true)
+}
+
+// Guards against a copy that forgets that an upstream is leaving, because an older report was recorded after that one.
+func TestLaterReportStaysInUseInACopy(t *testing.T) {
+	l, c := NewList(), NewList()
+	leaving := newEntry("a", 1, 5)
+	leaving.State = Leaving
+	l.Apply(0, 0, 0, 2, []Change{{ID: "a", Upstream: leaving}, {ID: "a", Upstream: newEntry("a", 1, 4)}})
+	c.Restore(0, l.Snapshot(0), false)
+	if u, _ := c.Get("a"); u.State != Leaving {
+		t.Fatalf("the copy lists %+v, want the later report", u)
+	}
+	leaving.ReportNumber = 6
+	if l.Holds(Change{ID: "a", Upstream: leaving}) {
+		t.Fatal("a report that differs from the last record counts as known to a host that has read only that record")
+	}
+}
--- /dev/null
+++ b/lib/fleet/list.go
@@ -0,0 +1,184 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// List is the list of upstreams as of one position in the store.
+type List struct {
+	// Offset is the position in the store up to which the list is complete.
+	Offset int64
+	// AsOf is when the read that confirmed Offset was sent.
+	AsOf time.Duration
+	// entries holds the upstreams in use.
+	entries  map[string]Upstream
+	removeAt map[string]time.Duration // when lapsed entries are removed, by upstream ID
+	// recorded holds the last record of each upstream up to Offset, in the order of the store. An entry in use differs
+	// from it if it has lapsed or if its record came after one with a later report.
+	recorded map[string]Upstream
+	// digest is the exclusive or of the digests of all upstreams in recorded.
+	digest uint64
+}
+
+// NewList returns an empty list at position 0.
+func NewList() *List {
+	return &List{entries: make(map[string]Upstream), removeAt: make(map[string]time.Duration), recorded: make(map[string]Upstream)}
+}
+
+// Digest returns a hash of the last record of each upstream up to Offset. Lists at the same position have the same digest.
+func (l *List) Digest() uint64 { return l.digest }
+
+// record updates recorded and digest by a change. u is nil if the upstream was removed.
+func (l *List) record(id string, u *Upstream) {
+	if old, ok := l.recorded[id]; ok {
+		l.digest ^= old.digest()
+		delete(l.recorded, id)
+	}
+	if u != nil {
+		l.recorded[id] = *u
+		l.digest ^= u.digest()
+	}
+}
+
+// Apply applies the changes between the positions from and to, read from the store at asOf. It returns false and
+// changes nothing if the list is not complete up to from, which would leave a gap, or is already beyond to.
+func (l *List) Apply(now, asOf time.Duration, from, to int64, changes []Change) bool {
+	if from > l.Offset || to < l.Offset {
+		return false
+	}
+	for _, c := range changes {
+		l.record(c.ID, c.Upstream)
+		l.applyChange(now, c)
+	}
+	l.Offset = to
+	l.AsOf = max(l.AsOf, asOf)
+	return true
+}
+
+// Replace replaces the list by the entries as of position to, read from the store at asOf. Entries missing from them
+// are removed, after LapseGrace if lapsed is set.
+func (l *List) Replace(now, asOf time.Duration, to int64, entries []Upstream, lapsed bool) {
+	listed := make(map[string]struct{}, len(entries))
+	clear(l.recorded)
+	l.digest = 0
+	for i := range entries {
+		l.record(entries[i].ID, &entries[i])
+		listed[entries[i].ID] = struct{}{}
+		l.applyChange(now, Change{ID: entries[i].ID, Upstream: &entries[i]})
+	}
+	for id := range l.entries {
+		if _, ok := listed[id]; !ok {
+			l.applyChange(now, Change{ID: id, Lapsed: lapsed})
+		}
+	}
+	l.Offset = to
+	l.AsOf = max(l.AsOf, asOf)
+}
+
+// applyChange applies one change. It ignores an entry that is older than the listed one.
+func (l *List) applyChange(now time.Duration, c Change) {
+	if c.Upstream != nil {
+		if old, ok := l.entries[c.ID]; ok && old.newer(c.Upstream) {
+			return
+		}
+		l.entries[c.ID] = *c.Upstream
+		delete(l.removeAt, c.ID)
+		return
+	}
+	if _, ok := l.entries[c.ID]; ok && c.Lapsed {
+		if _, lapsing := l.removeAt[c.ID]; !lapsing {
+			l.removeAt[c.ID] = now + LapseGrace
+		}
+		return
+	}
+	delete(l.entries, c.ID)
+	delete(l.removeAt, c.ID)
+}
+
+// Expire removes lapsed entries whose LapseGrace has passed and reports whether there were any.
+func (l *List) Expire(now time.Duration) bool {
+	removed := false
+	for id, at := range l.removeAt {
+		if now >= at {
+			delete(l.entries, id)
+			delete(l.removeAt, id)
+			removed = true
+		}
+	}
+	return removed
+}
+
+// Entries returns the upstreams, sorted by ID.
+func (l *List) Entries() []Upstream { return sortedByID(l.entries) }
+
+func sortedByID(upstreams map[string]Upstream) []Upstream {
+	return slices.SortedFunc(maps.Values(upstreams), func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
+}
+
+// Get returns the entry of an upstream and whether it is listed.
+func (l *List) Get(id string) (Upstream, bool) {
+	u, ok := l.entries[id]
+	return u, ok
+}
+
+// Holds reports whether the last record of an upstream is already as the change c makes it, in all that matters for
+// routing. A host at the same position then needs no notice of c, whatever it has in use.
+func (l *List) Holds(c Change) bool {
+	last, ok := l.recorded[c.ID]
+	if c.Upstream == nil {
+		return !ok
+	}
+	return ok && last.EqualForRouting(*c.Upstream)
+}
+
+// Snapshot is a copy of a list for another host.
+type Snapshot struct {
+	Offset int64 `cbor:"1,keyasint"`
+	// Age is the time since the read that confirmed Offset was sent.
+	Age time.Duration `cbor:"2,keyasint"`
+	// Recorded holds the last record of each upstream up to Offset.
+	Recorded []Upstream `cbor:"3,keyasint,omitempty"`
+	// Kept holds the entries in use that differ from Recorded.
+	Kept []KeptEntry `cbor:"4,keyasint,omitempty"`
+}
+
+// KeptEntry is an entry in use that differs from the last record of its upstream.
+type KeptEntry struct {
+	Upstream Upstream `cbor:"1,keyasint"`
+	// Left is the time until a lapsed entry is removed; 0 if the entry has not lapsed but is of a later report than the record.
+	Left time.Duration `cbor:"2,keyasint,omitempty"`
+}
+
+// Snapshot returns a copy of the list.
+func (l *List) Snapshot(now time.Duration) Snapshot {
+	s := Snapshot{Offset: l.Offset, Age: now - l.AsOf, Recorded: sortedByID(l.recorded)}
+	for _, u := range sortedByID(l.entries) {
+		removeAt, lapsing := l.removeAt[u.ID]
+		switch {
+		case lapsing:
+			s.Kept = append(s.Kept, KeptEntry{u, max(removeAt-now, 1)})
+		case !u.EqualForRouting(l.recorded[u.ID]):
+			s.Kept = append(s.Kept, KeptEntry{Upstream: u})
+		}
+	}
+	return s
+}
+
+// Restore replaces the list by a snapshot of another host. Entries missing from it are removed, after LapseGrace if lapsed is
+// set.
+func (l *List) Restore(now time.Duration, s Snapshot, lapsed bool) {
+	l.Replace(now, now-s.Age, s.Offset, s.Recorded, lapsed)
+	for _, k := range s.Kept {
+		if k.Left == 0 {
+			l.applyChange(now, Change{ID: k.Upstream.ID, Upstream: &k.Upstream})
+			continue
+		}
+		if _, listed := l.entries[k.Upstream.ID]; !listed {
+			l.entries[k.Upstream.ID] = k.Upstream
+			l.removeAt[k.Upstream.ID] = now + k.Left
+		}
+	}
+}
--- a/sardinegate/watch/list.go
+++ b/sardinegate/watch/list.go
@@ -100,9 +100,9 @@
 	return nil
 }
 
-// effectiveChanges returns the last change of each upstream that has a record which would change the list. An upstream
-// whose last record restores what is listed is included, because a host between the positions of the records lists
-// something else. w.mu must be held.
+// effectiveChanges returns the last change of each upstream that has a record which differs from the one before. An
+// upstream whose last record restores what was recorded is included, because a host between the positions of the records
+// holds something else. w.mu must be held.
 func (w *Watcher) effectiveChanges(records []fleet.Record) []fleet.Change {
 	last := make(map[string]fleet.Change)
 	var changed []string
@@ -113,7 +113,7 @@
 		}
 		c := w.decodeChange(r)
 		if _, ok := last[r.Key]; !ok {
-			if w.isListed(c) {
+			if w.list.Holds(c) {
 				continue
 			}
 			changed = append(changed, r.Key)
@@ -141,15 +141,6 @@
 	return fleet.Change{ID: r.Key, Upstream: &u}
 }
 
-// isListed reports whether the list is already as c makes it. w.mu must be held.
-func (w *Watcher) isListed(c fleet.Change) bool {
-	current, listed := w.list.Get(c.ID)
-	if c.Upstream == nil {
-		return !listed
-	}
-	return listed && current.EqualForRouting(*c.Upstream) && !w.list.Lapsing(c.ID)
-}
-
 // applyListChanges applies the changes between the positions from and to. It returns false and changes nothing if the
 // known position is not between them. w.mu must be held.
 func (w *Watcher) applyListChanges(asOf time.Duration, from, to int64, changes []fleet.Change) bool {
--- a/sardinegate/watch/peers.go
+++ b/sardinegate/watch/peers.go
@@ -20,15 +20,13 @@
 
 // storeSnapshot holds what a host knows from the store. Hosts that cannot read the store copy it.
 type storeSnapshot struct {
-	OperatorsPosition int64            `cbor:"1,keyasint"`
-	OperatorRecords   []fleet.Record   `cbor:"2,keyasint,omitempty"`
-	ListPosition      int64            `cbor:"3,keyasint"`
-	Upstreams         []fleet.Upstream `cbor:"4,keyasint,omitempty"`
-	// ListAge is the time since the read that confirmed ListPosition was sent, OperatorsAge the same for
-	// OperatorsPosition.
-	ListAge      time.Duration `cbor:"5,keyasint"`
-	Listed       bool          `cbor:"6,keyasint,omitempty"`
-	OperatorsAge time.Duration `cbor:"7,keyasint"`
+	OperatorsPosition int64          `cbor:"1,keyasint"`
+	OperatorRecords   []fleet.Record `cbor:"2,keyasint,omitempty"`
+	// OperatorsAge is the time since the read that confirmed OperatorsPosition was sent.
+	OperatorsAge time.Duration `cbor:"3,keyasint"`
+	// List is meaningful only if Listed is set.
+	List   fleet.Snapshot `cbor:"4,keyasint"`
+	Listed bool           `cbor:"5,keyasint,omitempty"`
 }
 
 var (
@@ -45,11 +43,9 @@
 	w.mu.Lock()
 	snapshot := storeSnapshot{
 		OperatorsPosition: w.operatorsPosition,
-		ListPosition:      w.list.Offset,
-		Upstreams:         w.list.Entries(),
-		ListAge:           w.now() - w.list.AsOf,
-		Listed:            w.view.Load().Listed,
 		OperatorsAge:      w.now() - w.operatorsAsOf,
+		List:              w.list.Snapshot(w.now()),
+		Listed:            w.view.Load().Listed,
 	}
 	for _, record := range w.operatorRecords {
 		snapshot.OperatorRecords = append(snapshot.OperatorRecords, record)
@@ -94,10 +90,10 @@
 		}
 		w.deps.Log.Info("operators' records taken from a host", "host", m.Host, "position", snapshot.OperatorsPosition)
 	}
-	if snapshot.Listed && (!w.view.Load().Listed || snapshot.ListPosition > w.list.Offset) {
-		w.list.Replace(w.now(), w.now()-snapshot.ListAge, snapshot.ListPosition, snapshot.Upstreams, w.inOutageWindow())
+	if snapshot.Listed && (!w.view.Load().Listed || snapshot.List.Offset > w.list.Offset) {
+		w.list.Restore(w.now(), snapshot.List, w.inOutageWindow())
 		w.publishList()
-		w.deps.Log.Info("upstreams taken from a host", "host", m.Host, "position", snapshot.ListPosition)
+		w.deps.Log.Info("upstreams taken from a host", "host", m.Host, "position", w.list.Offset)
 	}
 	return nil
 }
