grant: Bound the work of an owner by its decisions, not by what waits

A look at the queue now ends at the first request that finds no room, unless that request may not use some upstreams; a look for hedges first finds the shortest time that any upstream offers and goes on only with attempts that it helps. The estimate of a machine's slowdown is kept for 5 ms.

--- a/lib/grant/grant_test.go
+++ b/lib/grant/grant_test.go
@@ -345,3 +345,58 @@
 	s.RecordProbe(0, "a")
 	assertGranted(t, s.Decide(now, 0, newRequest()), "a")
 }
+
+// assertSearches fails the test if more searches than max were made since s.Searches() was before.
+func assertSearches(t *testing.T, s *State, before, max int) {
+	t.Helper()
+	if n := s.Searches() - before; n > max {
+		t.Fatalf("the upstreams were searched %d times, want at most %d", n, max)
+	}
+}
+
+// Guards against an owner whose work grows with the requests that wait: each look at the queue of a busy service must end
+// at the first request that finds no room, or the owner falls behind just when it is needed most.
+func TestWorkForAQueueDoesNotGrowWithIt(t *testing.T) {
+	s, request := largeService(t)
+	granted := fill(s, 0, request)
+	for range 300 {
+		s.Decide(0, 0.5, request())
+	}
+	now, before := time.Millisecond, s.Searches()
+	if out := s.DecideQueued(now, 0.5); len(out) > 0 {
+		t.Fatalf("%d requests left the queue of a busy service, want none", len(out))
+	}
+	assertSearches(t, s, before, 1)
+	for _, end := range granted[:20] {
+		s.EndAttempt(now, end)
+	}
+	before = s.Searches()
+	if out := s.DecideQueued(now, 0.5); len(out) != 20 {
+		t.Fatalf("%d requests left the queue after the end of 20 attempts, want 20", len(out))
+	}
+	assertSearches(t, s, before, 21)
+	before = s.Searches()
+	if out := s.DecideQueued(time.Second, 0.5); len(out) != 281 || out[0].RetryAfter == 0 {
+		t.Fatalf("%d requests were refused after the longest wait, want all 281 with the time to come back", len(out))
+	}
+	assertSearches(t, s, before, 1)
+}
+
+// Guards against an owner whose work grows with the attempts that are late: if no upstream is quick enough for a hedge, one
+// search has to show that for all of them.
+func TestWorkForHedgesDoesNotGrowWithLateAttempts(t *testing.T) {
+	s, request := largeService(t)
+	late := fill(s, 0, func() AttemptRequest {
+		req := request()
+		req.Target = 50 * time.Millisecond
+		return req
+	})
+	for _, end := range late[:600] {
+		s.EndAttempt(0, AttemptEnd{ID: end.ID, Upstream: end.Upstream, Outcome: Abandoned})
+	}
+	before := s.Searches()
+	if out := s.OfferHedges(100*time.Millisecond, 0.5); len(out) > 0 {
+		t.Fatalf("%d hedges were offered that would end after the first attempts, want none", len(out))
+	}
+	assertSearches(t, s, before, 1+maxFailedSearches)
+}
--- a/lib/grant/pick.go
+++ b/lib/grant/pick.go
@@ -18,10 +18,18 @@
 	if sel.Reason != NoRoom || req.WithoutOwner || req.Hedge || len(svc.queue) >= maxQueued {
 		return s.addCounts(now, svc, &req, sel)
 	}
-	svc.queue = append(svc.queue, queuedRequest{req, now + time.Duration(maxQueueShare*float64(req.Target))})
+	svc.enqueue(queuedRequest{req, now + time.Duration(maxQueueShare*float64(req.Target))})
 	return Selection{Reason: Queued}
 }
 
+// enqueue adds a request to the queue behind those that are as urgent.
+func (svc *service) enqueue(w queuedRequest) {
+	i, _ := slices.BinarySearchFunc(svc.queue, w.request.Priority+1, func(q queuedRequest, priority int) int {
+		return q.request.Priority - priority
+	})
+	svc.queue = slices.Insert(svc.queue, i, w)
+}
+
 // addCounts adds the counts of upstreams to a refusal, so that the log shows its cause.
 func (s *State) addCounts(now time.Duration, svc *service, req *AttemptRequest, sel Selection) Selection {
 	if sel.Upstream != "" || req.Hedge {
@@ -78,7 +86,7 @@
 		best.coldTokens--
 	}
 	best.updateWorkDone(now)
-	best.attempts[req.ID] = attempt{request: *req, startedAt: now, workAtStart: best.workDone, expiresAt: now + req.TimeLeft + time.Second}
+	best.attempts[req.ID] = &attempt{request: *req, startedAt: now, workAtStart: best.workDone, expiresAt: now + req.TimeLeft + time.Second}
 	return sel
 }
 
@@ -86,32 +94,73 @@
 // most one such hedge, and only if the hedge will probably end earlier than the attempt.
 func (s *State) OfferHedges(now time.Duration, rnd float64) []AttemptSelection {
 	var out []AttemptSelection
-	for _, u := range s.byID {
-		svc := s.service(u.Service)
+	for _, svc := range s.services {
+		out = append(out, s.offerServiceHedges(now, rnd, svc)...)
+	}
+	return out
+}
+
+// offerServiceHedges is OfferHedges for one service.
+func (s *State) offerServiceHedges(now time.Duration, rnd float64, svc *service) []AttemptSelection {
+	var out []AttemptSelection
+	quickest := time.Duration(-1) // the shortest expected response time of any upstream; negative until it is needed
+	failed := 0
+	for _, u := range svc.upstreams {
 		for id, att := range u.attempts {
-			req := att.request
-			if req.Once || req.AttemptsLeft < 1 || req.CountsAsRetry || att.hedged || req.WithoutOwner {
+			if !s.wantsHedge(now, svc, u, att) {
 				continue
 			}
-			req.Elapsed += now - att.startedAt
-			req.TimeLeft -= now - att.startedAt
-			if req.Elapsed+svc.remainingTime(now, u, att) <= req.Target {
+			if quickest < 0 {
+				best, eta, _ := s.selectUpstream(now, rnd, svc, &AttemptRequest{})
+				if best == nil {
+					return out
+				}
+				quickest = eta
+			}
+			if !savesTime(quickest, svc.remainingTime(now, u, att)) {
 				continue
 			}
-			req.Tried = append(slices.Clone(req.Tried), u.ID)
-			req.ID, req.HedgedSeq, req.Hedge, req.CountsAsRetry, req.AttemptsLeft = id.OwnerHedge(), id.Seq, true, true, req.AttemptsLeft-1
-			if sel := s.tryGrant(now, rnd, svc, &req); sel.Upstream != "" {
+			req := hedgeRequest(now, id, u, att)
+			sel := s.tryGrant(now, rnd, svc, &req)
+			if sel.Upstream != "" {
 				att.hedged = true
-				u.attempts[id] = att
 				out = append(out, AttemptSelection{req.ID, sel})
+				continue
+			}
+			if failed++; sel.Reason != NoGain || failed >= maxFailedSearches {
+				return out
 			}
 		}
 	}
 	return out
 }
 
+// wantsHedge reports whether an attempt may be hedged and will probably miss its latency target.
+func (s *State) wantsHedge(now time.Duration, svc *service, u *upstream, att *attempt) bool {
+	req := &att.request
+	if req.Once || req.AttemptsLeft < 1 || req.CountsAsRetry || att.hedged || req.WithoutOwner {
+		return false
+	}
+	return req.Elapsed+now-att.startedAt+svc.remainingTime(now, u, att) > req.Target
+}
+
+// hedgeRequest returns the request for a hedge of the attempt id at u.
+func hedgeRequest(now time.Duration, id AttemptID, u *upstream, att *attempt) AttemptRequest {
+	req := att.request
+	req.Elapsed += now - att.startedAt
+	req.TimeLeft -= now - att.startedAt
+	req.Tried = append(slices.Clone(req.Tried), u.ID)
+	req.ID, req.HedgedSeq, req.Hedge, req.CountsAsRetry, req.AttemptsLeft = id.OwnerHedge(), id.Seq, true, true, req.AttemptsLeft-1
+	return req
+}
+
+// savesTime reports whether a response expected after eta is enough earlier than one expected after remaining.
+func savesTime(eta, remaining time.Duration) bool {
+	return float64(eta) < float64(remaining)*(1-minHedgeSaving)
+}
+
 // remainingTime estimates the time until the response of an attempt.
-func (svc *service) remainingTime(now time.Duration, u *upstream, att attempt) time.Duration {
+func (svc *service) remainingTime(now time.Duration, u *upstream, att *attempt) time.Duration {
 	u.updateWorkDone(now)
 	rest := float64(svc.averageTime)*u.timeRatio - (u.workDone-att.workAtStart)*float64(time.Second)
 	t := max(rest, float64(svc.averageTime)*minRemainingShare, -rest*overdueShare) * u.slowdownPercent(now) / normalSlowdownPercent
@@ -132,24 +181,44 @@
 func (s *State) DecideQueued(now time.Duration, rnd float64) []AttemptSelection {
 	var out []AttemptSelection
 	for _, svc := range s.services {
-		if len(svc.queue) == 0 {
-			continue
+		if len(svc.queue) > 0 {
+			out = append(out, s.decideServiceQueue(now, rnd, svc)...)
+		}
+	}
+	return out
+}
+
+// decideServiceQueue is DecideQueued for one service.
+func (s *State) decideServiceQueue(now time.Duration, rnd float64, svc *service) []AttemptSelection {
+	var out []AttemptSelection
+	keep := svc.queue[:0]
+	failed := 0
+	for _, w := range svc.queue {
+		sel := Selection{Reason: NoRoom}
+		if failed < maxFailedSearches {
+			sel = s.tryGrant(now, rnd, svc, &w.request)
 		}
-		slices.SortStableFunc(svc.queue, func(a, b queuedRequest) int { return a.request.Priority - b.request.Priority })
-		keep := svc.queue[:0]
-		for _, w := range svc.queue {
-			sel := s.tryGrant(now, rnd, svc, &w.request)
-			if sel.Reason == NoRoom && now < w.refuseAt {
+		if sel.Reason == NoRoom {
+			failed++
+			if len(w.request.Tried) == 0 {
+				failed = maxFailedSearches // no other request can be granted an upstream that this one may not use
+			}
+			if now < w.refuseAt {
 				keep = append(keep, w)
 				continue
 			}
-			out = append(out, AttemptSelection{w.request.ID, s.addCounts(now, svc, &w.request, sel)})
+			sel.RetryAfter = svc.retryAfter(now)
 		}
-		svc.queue = keep
+		out = append(out, AttemptSelection{w.request.ID, s.addCounts(now, svc, &w.request, sel)})
 	}
+	clear(svc.queue[len(keep):])
+	svc.queue = keep
 	return out
 }
 
+// Searches returns how often the upstreams of a service were searched for the best one.
+func (s *State) Searches() int { return s.searches }
+
 // Waiting returns the number of queued requests of all services.
 func (s *State) Waiting() int {
 	n := 0
@@ -178,6 +247,7 @@
 	if req.Bulk {
 		crossCost = s.cfg.BulkCrossDataCentreCost
 	}
+	s.searches++
 	bestCost, belowKnee := 0.0, 0
 	n := len(svc.upstreams)
 	allDead := !slices.ContainsFunc(svc.upstreams, func(u *upstream) bool { return s.inService(u) && !u.dead(now) })
@@ -276,7 +346,7 @@
 		return req.Elapsed > req.Target/2
 	}
 	remaining := svc.remainingTime(now, u, att)
-	return req.Elapsed+remaining > req.Target && float64(eta) < float64(remaining)*(1-minHedgeSaving)
+	return req.Elapsed+remaining > req.Target && savesTime(eta, remaining)
 }
 
 // retryAfter returns how long a refused caller should wait before it tries again: about the time until a slot is free.
--- a/lib/grant/settings.go
+++ b/lib/grant/settings.go
@@ -43,6 +43,9 @@
 	// slowdownDecay is the time constant with which the estimated slowdown of a machine returns from the last report to
 	// defaultSlowdownPercent, as an old report says little about the present.
 	slowdownDecay = 400 * time.Millisecond
+	// slowdownLifetime is how long an estimate of the slowdown is used. An owner needs that of each upstream for each
+	// decision.
+	slowdownLifetime = 5 * time.Millisecond
 	// maxReportAge is the age up to which the number of requests in a load report is used besides the host's own count.
 	maxReportAge = 150 * time.Millisecond
 	// silentAfter is the time without an answer to a probe after which an upstream counts as silent.
@@ -70,6 +73,9 @@
 	minTimeRatio, maxTimeRatio = 0.5, 4.0
 	// maxQueueShare is the share of its latency target for which a request may be queued before it is refused.
 	maxQueueShare = 0.11
+	// maxFailedSearches bounds the searches in vain in one look at the queue of a service, or in one look for hedges, so that
+	// the work of an owner does not grow with what waits.
+	maxFailedSearches = 8
 	// maxQueued bounds the queued requests of one service.
 	maxQueued = 500
 	// minRetryAfter and maxRetryAfter bound the time after which a refused caller is asked to try again.
--- a/lib/grant/state.go
+++ b/lib/grant/state.go
@@ -145,7 +145,7 @@
 // upstream is a listed upstream with the load, health and speed that this host knows of it.
 type upstream struct {
 	fleet.Upstream
-	attempts map[AttemptID]attempt
+	attempts map[AttemptID]*attempt
 
 	report            fleet.Report
 	reportedAt        time.Duration // when report was received; negative before the first
@@ -156,6 +156,10 @@
 	coldTokens float64       // requests that the cold rate allows at refilledAt
 	refilledAt time.Duration // when coldTokens was last refilled
 
+	// slowdown is the result of slowdownPercent at slowdownAt, which is negative after a new report.
+	slowdown   float64
+	slowdownAt time.Duration
+
 	failureRate   float64 // moving average of failures, in 0 to 1, as of failureRateAt
 	failureRateAt time.Duration
 	timeRatio     float64 // response time relative to the average of the service, without machine slowdown
@@ -174,7 +178,8 @@
 	averageTime     time.Duration // average response time without machine slowdown
 	ownerBudget     retryBudget   // for decisions as the owner
 	ownerlessBudget retryBudget   // for decisions without the owner
-	queue           []queuedRequest
+	// queue holds the requests that wait for capacity, the most urgent first.
+	queue []queuedRequest
 }
 
 // queuedRequest is a request that waits for capacity.
@@ -189,6 +194,7 @@
 	services     map[string]*service
 	byID         map[string]*upstream
 	outOfService map[string]struct{} // data centres taken out of service
+	searches     int                 // how often the upstreams of a service were searched for the best one
 }
 
 // New returns a state without upstreams.
@@ -236,8 +242,9 @@
 
 func newUpstream(now time.Duration, entry fleet.Upstream) *upstream {
 	return &upstream{
-		attempts:          make(map[AttemptID]attempt),
+		attempts:          make(map[AttemptID]*attempt),
 		reportedAt:        -1,
+		slowdownAt:        -1,
 		probePendingSince: -1,
 		coldUntil:         now + entry.ColdFor,
 		coldTokens:        1,
@@ -265,7 +272,7 @@
 		return
 	}
 	u.updateWorkDone(now)
-	u.report, u.reportedAt = r, now
+	u.report, u.reportedAt, u.slowdownAt = r, now, -1
 	if answersProbe {
 		u.probePendingSince, u.unhealthy = -1, unhealthy
 		u.setCold(now, r.ColdFor)
@@ -311,12 +318,16 @@
 	if u.reportedAt < 0 {
 		return defaultSlowdownPercent
 	}
+	if u.slowdownAt >= 0 && now-u.slowdownAt < slowdownLifetime {
+		return u.slowdown
+	}
 	f := u.report.SlowdownPercent
 	if f <= 0 {
 		f = normalSlowdownPercent
 	}
 	keep := math.Exp(-float64(now-u.reportedAt) / float64(slowdownDecay))
-	return defaultSlowdownPercent + (f-defaultSlowdownPercent)*keep
+	u.slowdown, u.slowdownAt = defaultSlowdownPercent+(f-defaultSlowdownPercent)*keep, now
+	return u.slowdown
 }
 
 // slots returns the reported number of slots, or the one in the list of upstreams if none was reported.
@@ -338,6 +349,9 @@
 
 // currentFailureRate returns the failure rate, which decays while no attempts end.
 func (u *upstream) currentFailureRate(now time.Duration) float64 {
+	if u.failureRate == 0 {
+		return 0
+	}
 	return u.failureRate * math.Exp2(-float64(now-u.failureRateAt)/float64(failureHalfLife))
 }
 
--- a/sardinegate/broker/work.go
+++ b/sardinegate/broker/work.go
@@ -11,6 +11,7 @@
 	since                            time.Duration
 	decisions, probes                int
 	deciding, queue, hedges, probing time.Duration
+	searches                         int // grant.State.Searches at since
 }
 
 // logWork logs the work of this host as an owner once in workLogInterval.
@@ -21,13 +22,14 @@
 		b.mu.Unlock()
 		return
 	}
-	b.work = ownerWork{since: now}
+	b.work = ownerWork{since: now, searches: b.state.Searches()}
+	searches := b.work.searches - work.searches
 	waiting := b.state.Waiting()
 	b.mu.Unlock()
 	if work.decisions+work.probes == 0 {
 		return
 	}
 	b.deps.Log.Info("work as an owner", "forMs", (now - work.since).Milliseconds(), "decisions", work.decisions, "probes", work.probes,
-		"waiting", waiting, "decidingMs", work.deciding.Milliseconds(), "queueMs", work.queue.Milliseconds(),
+		"waiting", waiting, "searches", searches, "decidingMs", work.deciding.Milliseconds(), "queueMs", work.queue.Milliseconds(),
 		"hedgesMs", work.hedges.Milliseconds(), "probingMs", work.probing.Milliseconds())
 }
