mesh, watch: Give work for all hosts to the largest hosts

On the grown sites 129 of 139 hosts have 0.16 cores and links of 10 Mbit/s, the others 0.8 cores and 200 Mbit/s. Hosts now tell their capacity in heartbeats, from the processor and link in the settings, and are ranked for a task with those of at least half of the largest capacity first, each group by rendezvous hashing. Hosts of equal size are ranked as before.

--- a/sardinegate/broker/broker.go
+++ b/sardinegate/broker/broker.go
@@ -49,7 +49,7 @@
 	ProbeInterval time.Duration
 }
 
-// ownerOrder is a cached result of mesh.Node.RankOwners; validUntil is on the broker's clock.
+// ownerOrder is a cached result of mesh.Node.RankHosts; validUntil is on the broker's clock.
 type ownerOrder struct {
 	hosts      []string
 	validUntil time.Duration
@@ -142,7 +142,7 @@
 	o := b.ownerOrders[service]
 	if now >= o.validUntil {
 		before := o.hosts
-		o = ownerOrder{b.deps.Node.RankOwners(service, b.deps.Leaving()), now + ownerOrderLifetime}
+		o = ownerOrder{b.deps.Node.RankHosts(service, b.deps.Leaving()), now + ownerOrderLifetime}
 		b.ownerOrders[service] = o
 		if len(o.hosts) > 0 && (len(before) == 0 || before[0] != o.hosts[0]) {
 			b.deps.Log.Info("owner changed", "service", service, "owner", o.hosts[0], "hosts", len(o.hosts))
--- a/sardinegate/broker/broker_test.go
+++ b/sardinegate/broker/broker_test.go
@@ -90,7 +90,7 @@
 // owner answers.
 func TestOwnerDecides(t *testing.T) {
 	all := startHosts(t, "a", "b", "c")
-	owner := all["a"].node.RankOwners("s", false)[0]
+	owner := all["a"].node.RankHosts("s", false)[0]
 	for name, h := range all {
 		d := h.Decide(context.Background(), newRequest(), nil)
 		if d.Upstream != "u" || d.DecidedBy != owner {
@@ -107,7 +107,7 @@
 // must not ask it again at once.
 func TestDecidesWithoutSilentOwner(t *testing.T) {
 	all := startHosts(t, "a", "b")
-	owner := all["a"].node.RankOwners("s", false)[0]
+	owner := all["a"].node.RankHosts("s", false)[0]
 	survivor := all["a"]
 	if owner == "a" {
 		survivor = all["b"]
--- a/sardinegate/gate.go
+++ b/sardinegate/gate.go
@@ -42,6 +42,10 @@
 	// minLocalHosts is the number of ready hosts in a data centre below which its callers also get the addresses of
 	// hosts in other data centres.
 	minLocalHosts = 2
+	// messagesPerCore and messagesPerMbps are the messages and probes a second that a host handles for all hosts with a
+	// quarter of a core, and with a quarter of a link of 1 Mbit/s at 500 bytes each.
+	messagesPerCore = 3000.0
+	messagesPerMbps = 62.5
 	// minConnections is the lower bound of this host's connection limit per upstream.
 	minConnections = 4
 	// settingsCheckInterval is the time between checks whether the settings file was modified, as it may change without
@@ -99,7 +103,7 @@
 	g.log.Info("start", "host", s.Host, "dataCentre", s.DataCentre, "boot", boot)
 	g.node, err = mesh.Listen(mesh.Self{
 		Host: s.Host, DataCentre: s.DataCentre, CallerAddress: s.CallerAddress, Boot: boot,
-		Listen: netip.AddrPortFrom(ip, uint16(s.InternalPort)),
+		Listen: netip.AddrPortFrom(ip, uint16(s.InternalPort)), Capacity: capacity(s),
 	}, g.log)
 	if err != nil {
 		return nil, fmt.Errorf("open socket for datagrams of other hosts: %w", err)
@@ -132,6 +136,19 @@
 	return g, g.listen(g.newStats())
 }
 
+// capacity returns the number of messages and probes a second that a host with the given settings can handle for all hosts.
+// An unknown processor counts as a whole core, an unknown link as unlimited.
+func capacity(s platform.Settings) int {
+	n := messagesPerCore
+	if s.Processors > 0 {
+		n *= s.Processors
+	}
+	if s.LinkMbps > 0 {
+		n = min(n, messagesPerMbps*s.LinkMbps)
+	}
+	return max(int(n), 1)
+}
+
 // updateView passes a new view to the broker. It splits the lowest connection limit of any service evenly between the
 // live hosts, as each has its own pool, but leaves each at least minConnections.
 func (g *gate) updateView(v *fleet.View) {
--- a/sardinegate/mesh/mesh.go
+++ b/sardinegate/mesh/mesh.go
@@ -11,8 +11,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -31,12 +29,15 @@
 	Listen netip.AddrPort
 	// Boot identifies the lifetime of this process; see Message.Boot.
 	Boot int64
+	// Capacity is the number of messages and probes a second that this host can handle for all hosts.
+	Capacity int
 }
 
 // Member is the last known status of another host.
 type Member struct {
 	Host, DataCentre, CallerAddress string
 	Leaving, Ready                  bool
+	Capacity                        int
 	OperatorsPosition, ListPosition int64
 	boot                            int64
 	addr                            netip.AddrPort
@@ -144,7 +145,7 @@
 // heartbeat returns a heartbeat with the current status. heartbeatMu must be held until it is sent.
 func (n *Node) heartbeat() Heartbeat {
 	hb := (*n.status.Load())()
-	hb.DataCentre, hb.CallerAddress = n.self.DataCentre, n.self.CallerAddress
+	hb.DataCentre, hb.CallerAddress, hb.Capacity = n.self.DataCentre, n.self.CallerAddress, n.self.Capacity
 	return hb
 }
 
@@ -279,7 +280,7 @@
 	if hb := m.Heartbeat; hb != nil {
 		changed = !newlyAlive && (member.Leaving != hb.Leaving || member.Ready != hb.Ready)
 		member.DataCentre, member.CallerAddress = hb.DataCentre, hb.CallerAddress
-		member.Leaving, member.Ready = hb.Leaving, hb.Ready
+		member.Leaving, member.Ready, member.Capacity = hb.Leaving, hb.Ready, hb.Capacity
 		member.OperatorsPosition, member.ListPosition = hb.OperatorsPosition, hb.ListPosition
 	}
 	delete(n.unconfirmed, from)
@@ -316,35 +317,3 @@
 
 // Address returns the address at which the member receives messages and requests of other hosts.
 func (m *Member) Address() netip.AddrPort { return m.addr }
-
-// RankOwners returns the hosts that may own a service, the preferred one first, by rendezvous hashing. It includes this
-// host unless leaving is set. Hosts that agree on which hosts are alive, ready and leaving return the same list.
-func (n *Node) RankOwners(service string, leaving bool) []string {
-	type ranked struct {
-		host string
-		rank uint64
-	}
-	rank := func(host string) ranked { return ranked{host, xxhash.Sum64String(service + "\x00" + host)} }
-	var order []ranked
-	if !leaving {
-		order = append(order, rank(n.self.Host))
-	}
-	n.mu.Lock()
-	for _, m := range n.members {
-		if n.alive(m) && !m.Leaving && m.Ready {
-			order = append(order, rank(m.Host))
-		}
-	}
-	n.mu.Unlock()
-	slices.SortFunc(order, func(a, b ranked) int {
-		if a.rank < b.rank {
-			return -1
-		}
-		return 1
-	})
-	hosts := make([]string, len(order))
-	for i, r := range order {
-		hosts[i] = r.host
-	}
-	return hosts
-}
--- a/sardinegate/mesh/mesh_test.go
+++ b/sardinegate/mesh/mesh_test.go
@@ -62,12 +62,12 @@
 	b.AddAddress(netip.MustParseAddr("127.0.0.1"))
 	b.SendHeartbeat()
 	eventually(t, "the hosts to discover each other", func() bool { return len(a.Alive()) == 1 && len(b.Alive()) == 1 })
-	if x, y := a.RankOwners("s", false), b.RankOwners("s", false); len(x) != 2 || x[0] != y[0] {
+	if x, y := a.RankHosts("s", false), b.RankHosts("s", false); len(x) != 2 || x[0] != y[0] {
 		t.Fatalf("ranks of owners are %v at host a and %v at host b, want two hosts in the same order", x, y)
 	}
 	leaving.Store(true)
 	b.SendHeartbeat()
-	eventually(t, "the leaving host to lose its rank as an owner", func() bool { return len(a.RankOwners("s", false)) == 1 })
+	eventually(t, "the leaving host to lose its rank as an owner", func() bool { return len(a.RankHosts("s", false)) == 1 })
 	b.Close()
 	eventually(t, "the stopped host to be dropped", func() bool { return len(a.Alive()) == 0 })
 }
--- a/sardinegate/mesh/message.go
+++ b/sardinegate/mesh/message.go
@@ -41,6 +41,8 @@
 	// list of upstreams.
 	OperatorsPosition int64 `cbor:"5,keyasint,omitempty"`
 	ListPosition      int64 `cbor:"7,keyasint,omitempty"`
+	// Capacity is the number of messages and probes a second that the sender can handle for all hosts.
+	Capacity int `cbor:"8,keyasint,omitempty"`
 	// ColdUpstreams lists the upstreams that the sender found cold.
 	ColdUpstreams []ColdUpstream `cbor:"6,keyasint,omitempty"`
 }
--- a/sardinegate/watch/follow.go
+++ b/sardinegate/watch/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"time"
 
 	"sardinecross.example/lib/common/pause"
@@ -11,12 +12,15 @@
 )
 
 const (
-	// minReadAge is the age of the known position at which the first host by name reads a stream. Each further host
-	// waits readAgeStep longer, so that one host reads for all while it is alive and reaches the others. The last host
-	// waits at most maxReadAgeSpread longer than the first.
-	minReadAge       = 750 * time.Millisecond
-	readAgeStep      = 45 * time.Millisecond
-	maxReadAgeSpread = 800 * time.Millisecond
+	// minReadAge is the age of the known position at which the first host in the order of readers reads a stream. Each of
+	// the next firstReaders hosts waits readAgeStep longer, so that one host reads for all while it is alive and reaches
+	// the others. All further hosts share the rest of readAgeSpread, by which the last one reads.
+	minReadAge    = 750 * time.Millisecond
+	readAgeStep   = 45 * time.Millisecond
+	firstReaders  = 8
+	readAgeSpread = 800 * time.Millisecond
+	// readTask is the task for which hosts are ranked to read the store.
+	readTask = "read the store"
 	// ageCheckInterval is the time between checks of the age of the known position.
 	ageCheckInterval = 40 * time.Millisecond
 	// joinInterval is the time between attempts to copy the view from other hosts after the start.
@@ -54,7 +58,7 @@
 	for ctx.Err() == nil {
 		s.expire()
 		canResume := positionRead || s.loaded() && s.position() > deletedFrom
-		if canResume && s.age() < w.readAge() {
+		if age := s.age(); canResume && (age < minReadAge || age < w.readAge()) {
 			pause.For(ctx, ageCheckInterval)
 			continue
 		}
@@ -94,17 +98,15 @@
 }
 
 // readAge returns the age of the known position at which this host reads a stream. It grows with the number of live
-// hosts whose names sort before this host's.
+// hosts that are ranked before this one.
 func (w *Watcher) readAge() time.Duration {
-	alive := w.deps.Node.Alive()
-	rank := 0
-	for _, m := range alive {
-		if m.Host < w.deps.Host {
-			rank++
-		}
+	hosts := w.deps.Node.RankHosts(readTask, false)
+	rank := slices.Index(hosts, w.deps.Host)
+	if rank <= firstReaders {
+		return minReadAge + time.Duration(rank)*readAgeStep
 	}
-	step := min(readAgeStep, maxReadAgeSpread/time.Duration(len(alive)+1))
-	return minReadAge + time.Duration(rank)*step
+	step := (readAgeSpread - firstReaders*readAgeStep) / time.Duration(len(hosts)-firstReaders)
+	return minReadAge + firstReaders*readAgeStep + time.Duration(rank-firstReaders)*step
 }
 
 // readNewest reads the newest record of each key of a stream and replaces what is known by them.
--- a/sardinegate/watch/model_test.go
+++ b/sardinegate/watch/model_test.go
@@ -61,6 +61,8 @@
 	return out
 }
 
+func (n busNode) RankHosts(string, bool) []string { return hostNames(len(n.hosts())) }
+
 func (n busNode) Broadcast(m *mesh.Message) {
 	m.From = n.host
 	if n.sent != nil {
--- a/sardinegate/watch/watch.go
+++ b/sardinegate/watch/watch.go
@@ -23,6 +23,8 @@
 type Node interface {
 	// Alive returns the other hosts that are alive, sorted by name.
 	Alive() []mesh.Member
+	// RankHosts returns the hosts that may do a task for all hosts, the preferred one first.
+	RankHosts(task string, leaving bool) []string
 	// Broadcast sends a message to all hosts that are alive. It may be lost.
 	Broadcast(m *mesh.Message)
 	// AddAddress adds the address of a host that may be alive, and SendHeartbeat sends a heartbeat to all known addresses.
