broker: Bound the probes of a host by its capacity

Their number grows with the upstreams of the services that a host owns, and nothing bounded it. A host now sends at most as many probes a second as a quarter of its processor and of its link allow, those first that waited longest. The services that a host owns are looked up once a look, not once an upstream.

--- a/sardinegate/broker/broker.go
+++ b/sardinegate/broker/broker.go
@@ -47,6 +47,8 @@
 	// ProbeInterval is the time between probes of one upstream, unless load reports in other responses make some of them
 	// unnecessary.
 	ProbeInterval time.Duration
+	// ProbesPerSecond bounds the probes that this host sends to all upstreams together.
+	ProbesPerSecond float64
 }
 
 // ownerOrder is a cached result of mesh.Node.RankHosts; validUntil is on the broker's clock.
@@ -77,6 +79,7 @@
 	suspectUntil map[string]time.Duration
 	ownerOrders  map[string]ownerOrder
 	probes       map[string]*probeState
+	probeTokens  tokens
 	work         ownerWork
 }
 
--- a/sardinegate/broker/broker_test.go
+++ b/sardinegate/broker/broker_test.go
@@ -58,7 +58,7 @@
 		p := pool.New()
 		b := New(Deps{
 			Host: name, Node: node, Pool: p, Codec: fakeCodec{}, Log: log,
-			View: func() *fleet.View { return view }, Leaving: func() bool { return false }, ProbeInterval: time.Second,
+			View: func() *fleet.View { return view }, Leaving: func() bool { return false }, ProbeInterval: time.Second, ProbesPerSecond: 100,
 		}, grant.Settings{RetryRatio: 0.2, RetrySlack: 10, RetryWindow: time.Second, Hosts: len(names)})
 		b.Update(view)
 		node.Start(func() mesh.Heartbeat { return mesh.Heartbeat{Ready: true} }, b.Handle)
@@ -175,3 +175,20 @@
 		h.node.Close()
 	}
 }
+
+// Guards against an owner that spends its processor and its link on probes: their rate is bounded by what the host can
+// handle, whatever the number of upstreams, and the unused rate of a pause is not made up for.
+func TestProbesKeepToTheRateOfTheHost(t *testing.T) {
+	var limit tokens
+	const perSecond = 100
+	sent := 0
+	for now := time.Duration(0); now < 10*time.Second; now += probeTick {
+		sent += limit.take(now, 1000, perSecond)
+	}
+	if sent < 9*perSecond || sent > 10*perSecond+1 {
+		t.Fatalf("%d probes in 10 s, want about 1000", sent)
+	}
+	if n := limit.take(time.Minute, 1000, perSecond); n > 5 {
+		t.Fatalf("%d probes at once after a pause, want at most those of %v", n, maxTokenTime)
+	}
+}
--- a/sardinegate/broker/probe.go
+++ b/sardinegate/broker/probe.go
@@ -1,9 +1,11 @@
 package broker
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"sardinecross.example/lib/common/pause"
@@ -46,8 +48,8 @@
 	}
 }
 
-// startDueProbes starts the due probes of upstreams of services that this host owns, and reports whether it owns a service
-// with upstreams to probe.
+// startDueProbes starts the due probes of upstreams of services that this host owns, as far as its rate of probes allows,
+// and reports whether it owns a service with upstreams to probe. Those that were not probed for longest go first.
 func (b *Broker) startDueProbes(ctx context.Context) (owns bool) {
 	v := b.deps.View()
 	if v.Routes == nil {
@@ -62,9 +64,35 @@
 			delete(b.probes, id)
 		}
 	}
+	due, owns := b.dueProbes(now, v)
+	n := b.probeTokens.take(now, len(due), b.deps.ProbesPerSecond)
+	if n < len(due) {
+		slices.SortFunc(due, func(x, y dueProbe) int { return cmp.Compare(x.state.lastSent, y.state.lastSent) })
+	}
+	for _, d := range due[:n] {
+		p := d.state
+		p.running, p.lastSent, p.nextDue = true, now, max(p.nextDue+b.deps.ProbeInterval, now+b.deps.ProbeInterval/2)
+		b.state.RecordProbe(now, d.upstream.ID)
+		b.Probes.Add(1)
+		b.work.probes++
+		b.wg.Go(func() { b.probe(ctx, p, d.upstream, d.path) })
+	}
+	return owns
+}
+
+// dueProbe is a probe that is due at an upstream.
+type dueProbe struct {
+	state    *probeState
+	upstream fleet.Upstream
+	path     string
+}
+
+// dueProbes returns the probes that are due, and whether this host owns a service with upstreams to probe. b.mu must be held.
+func (b *Broker) dueProbes(now time.Duration, v *fleet.View) (due []dueProbe, owns bool) {
+	paths := b.ownedHealthPaths(now, v)
 	for id, u := range v.Upstreams {
-		svc, ok := v.Routes.Services[u.Service]
-		if !ok || svc.HealthPath == "" || !v.Usable(u, u.Service) || b.owner(now, u.Service) != b.deps.Host {
+		path := paths[u.Service]
+		if path == "" || !v.Usable(u, u.Service) {
 			continue
 		}
 		owns = true
@@ -76,13 +104,39 @@
 		if p.running || now < p.nextDue || now < b.state.ReportedAt(id)+b.deps.ProbeInterval && now < p.lastSent+maxProbeInterval {
 			continue
 		}
-		p.running, p.lastSent, p.nextDue = true, now, max(p.nextDue+b.deps.ProbeInterval, now+b.deps.ProbeInterval/2)
-		b.state.RecordProbe(now, id)
-		b.Probes.Add(1)
-		b.work.probes++
-		b.wg.Go(func() { b.probe(ctx, p, u, svc.HealthPath) })
+		due = append(due, dueProbe{p, u, path})
 	}
-	return owns
+	return due, owns
+}
+
+// ownedHealthPaths returns the health paths of the services that this host owns. b.mu must be held.
+func (b *Broker) ownedHealthPaths(now time.Duration, v *fleet.View) map[string]string {
+	paths := make(map[string]string)
+	for name, svc := range v.Routes.Services {
+		if svc.HealthPath != "" && b.owner(now, name) == b.deps.Host {
+			paths[name] = svc.HealthPath
+		}
+	}
+	return paths
+}
+
+// tokens limits a rate. It allows at most what the rate yields in maxTokenTime at once.
+type tokens struct {
+	count float64
+	at    time.Duration // when count was last updated
+}
+
+// maxTokenTime is the time for which unused tokens are kept.
+const maxTokenTime = 50 * time.Millisecond
+
+// take takes at most n tokens and returns how many it took; perSecond are added each second.
+func (t *tokens) take(now time.Duration, n int, perSecond float64) int {
+	limit := max(perSecond*maxTokenTime.Seconds(), 1)
+	t.count = min(t.count+perSecond*(now-t.at).Seconds(), limit)
+	t.at = now
+	n = min(n, int(t.count))
+	t.count -= float64(n)
+	return n
 }
 
 // probe sends one probe, records the load report in the response and logs changes of the upstream's state.
--- a/sardinegate/gate.go
+++ b/sardinegate/gate.go
@@ -115,7 +115,8 @@
 	g.broker = broker.New(broker.Deps{
 		Host: s.Host, Node: g.node, Pool: g.pool, Codec: platform.HeaderCodec{}, Log: g.log,
 		View: g.watcher.View, Leaving: g.leaving.Load,
-		ProbeInterval: time.Duration(float64(time.Second) / min(maxProbesPerSecond, s.MaxProbesPerSecond)),
+		ProbeInterval:   time.Duration(float64(time.Second) / min(maxProbesPerSecond, s.MaxProbesPerSecond)),
+		ProbesPerSecond: float64(capacity(s)),
 	}, grant.Settings{
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 		Hosts: 1, CrossDataCentreCost: crossDataCentreCost, BulkCrossDataCentreCost: bulkCrossDataCentreCost,
