sardined: Hold the ports of a test's daemon until all are chosen

The ports are now held together. They are on an IP address that is derived from the process ID, so that another test process does not take one between its choice and the start of the daemon, which would show as a failure to listen. TestFreeAddressesDiffer chooses 2,000 times.

--- a/sardined/daemon_test.go
+++ b/sardined/daemon_test.go
@@ -152,28 +152,34 @@
 	ended          chan struct{}
 }
 
-// freeAddress returns a loopback address with a free port. The daemon needs the port in its settings, so the system cannot
-// choose it when the daemon listens.
-func freeAddress(t testing.TB, network string) string {
+// listenAddresses are the addresses of a daemon's listeners.
+type listenAddresses struct{ callers, admin, peers string }
+
+// freeAddresses returns addresses with free ports. The daemon needs the ports in its settings, so the system cannot choose
+// them when the daemon listens. All are held until the last one is chosen, so that they differ, and belong to an IP
+// address that no other test process uses, so that none of them takes one before the daemon listens.
+func freeAddresses(t testing.TB) listenAddresses {
 	t.Helper()
-	if network == "udp" {
-		c, err := net.ListenPacket(network, "127.0.0.1:0")
-		assertNoError(t, err)
-		defer c.Close()
-		return c.LocalAddr().String()
-	}
-	l, err := net.Listen(network, "127.0.0.1:0")
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.1.%d.%d:0", pid>>8&0xff, pid&0xff)
+	callers, err := net.Listen("tcp", host)
+	assertNoError(t, err)
+	defer callers.Close()
+	admin, err := net.Listen("tcp", host)
+	assertNoError(t, err)
+	defer admin.Close()
+	peers, err := net.ListenPacket("udp", host)
 	assertNoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	defer peers.Close()
+	return listenAddresses{callers.Addr().String(), admin.Addr().String(), peers.LocalAddr().String()}
 }
 
 // start starts a daemon and adds it to the host list. The daemon stops at the end of the test.
 func (s *testSite) start(t testing.TB, id string) *testDaemon {
 	t.Helper()
 	s.writeCertificate(t, id)
-	p := &testDaemon{callers: freeAddress(t, "tcp"), admin: freeAddress(t, "tcp"), stop: make(chan os.Signal, 2), ended: make(chan struct{})}
-	peers := freeAddress(t, "udp")
+	listen := freeAddresses(t)
+	p := &testDaemon{callers: listen.callers, admin: listen.admin, stop: make(chan os.Signal, 2), ended: make(chan struct{})}
 	file := filepath.Join(s.dir, id+".json")
 	assertNoError(t, os.WriteFile(file, fmt.Appendf(nil, `{
 		"host": {"id": %q, "site": "hofbauer", "dataCentre": "passau"},
@@ -184,7 +190,7 @@
 		"services": {"booking": {"slots": 4}},
 		"timing": {"addressLifetime": "100ms"},
 		"runtime": {"processors": 10},
-	}`, id, p.callers, peers, p.admin, s.log.Listener.Addr(), s.hostList.Listener.Addr(),
+	}`, id, p.callers, listen.peers, p.admin, s.log.Listener.Addr(), s.hostList.Listener.Addr(),
 		filepath.Join(s.dir, "ca.pem"), filepath.Join(s.dir, id+".pem")), 0o600))
 	settings, err := config.LoadDaemon(file)
 	assertNoError(t, err)
@@ -197,7 +203,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entries = append(s.entries, map[string]string{
-		"id": id, "role": "host", "dataCentre": "passau", "address": p.callers, "peerAddress": peers, "state": "live",
+		"id": id, "role": "host", "dataCentre": "passau", "address": p.callers, "peerAddress": listen.peers, "state": "live",
 	})
 	t.Cleanup(func() {
 		p.stop <- syscall.SIGTERM
@@ -238,6 +244,16 @@
 	return "", nil
 }
 
+// Guards against settings that name one address twice, which the daemon refuses: a port that was chosen and freed could be
+// chosen again.
+func TestFreeAddressesDiffer(t *testing.T) {
+	for range 2000 {
+		if l := freeAddresses(t); l.callers == l.admin {
+			t.Fatalf("got %+v, want two TCP addresses", l)
+		}
+	}
+}
+
 // The components of the daemon must work together with the real reducer. Two daemons read the configuration and the host
 // list from a test platform, and requests pass through them to an upstream. An order that is sent repeatedly with one
 // request ID, to both hosts, must run once.
