core: Do not say "not run" about a retried order that may still run

Callers that sent an order again after no answer could be told "not run" and then find that it ran. In lib/core: the first request is held up, for example at a stopped host; the retry, marked X-Retry, is refused for lack of an upstream as "not run"; the first request arrives and the order runs. Invariant 2 promises that a refused request never will run. Keys had the rule for claims that are abandoned; issued IDs, and every reason to refuse after the deduplicator, did not. A refusal of a marked retry now says "unknown" where this host has not run the order; the order itself stays open, so a further retry may run it. TestRefusedRetryOfADelayedOrderMayRunLater failed before (noCapacity, run no) and shows that the delayed request runs.

--- a/lib/core/refuse.go
+++ b/lib/core/refuse.go
@@ -25,8 +25,8 @@
 	retryAfter time.Duration
 }
 
-// refusalRules has one rule for each reason. A reason whose rule allows RunNo alone is used before the first attempt
-// only. If the attempts of a request contradict the rule, the reason becomes ReasonUpstreamFailed, with RunUnknown or
+// refusalRules has one rule for each reason, for the host's own knowledge; see runForCaller for retries. A reason whose
+// rule allows RunNo alone is used before the first attempt only. If the attempts of a request contradict the rule, the reason becomes ReasonUpstreamFailed, with RunUnknown or
 // RunYes.
 var refusalRules = map[Reason]refusalRule{
 	// The class is not in the configuration.
@@ -79,12 +79,22 @@
 	reason, run = s.truthfulRefusal(r, reason, run)
 	s.dequeue(r)
 	if s.beginReply(r) {
-		s.emit(Refuse{ID: r.ID, Reason: reason, Run: run, RetryAfter: refusalRules[reason].retryAfter})
+		s.emit(Refuse{ID: r.ID, Reason: reason, Run: s.runForCaller(r, run), RetryAfter: refusalRules[reason].retryAfter})
 		s.countRefusal(r.className, reason)
 	}
 	s.finish(r, run, nil)
 }
 
+// runForCaller returns what a caller is told about an order that this host has not run. An earlier request with the same ID
+// or key may still arrive, for example from a host that was stopped, and run the order then. The order itself stays as
+// run says, so that a further retry may run it.
+func (s *State) runForCaller(r *request, run Run) Run {
+	if run == RunNo && r.retry && r.deduplicated && !s.disabled.runAccuracy {
+		return RunUnknown
+	}
+	return run
+}
+
 // refuseUntracked refuses a request for which no state was created.
 func (s *State) refuseUntracked(ev RequestArrived, reason Reason, run Run) {
 	s.emit(Refuse{ID: ev.ID, Reason: reason, Run: run, RetryAfter: refusalRules[reason].retryAfter})
--- a/lib/core/refuse_test.go
+++ b/lib/core/refuse_test.go
@@ -261,3 +261,35 @@
 		t.Error("the retry is still waiting")
 	}
 }
+
+// Guards against "not run" about an order that runs later: the caller had no answer to its first request, because the host
+// that got it was stopped, and sends the order again. A refusal of that retry must not say "not run", since the first
+// request may still arrive.
+func TestRefusedRetryOfADelayedOrderMayRunLater(t *testing.T) {
+	for name, prepare := range map[string]func(t *testing.T, h *testHost) RequestArrived{
+		"issued ID": func(t *testing.T, h *testHost) RequestArrived {
+			return RequestArrived{Class: "orders", Token: h.issue(t)}
+		},
+		"key": func(*testing.T, *testHost) RequestArrived { return RequestArrived{Class: "orders", Key: "k"} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHost(t, 1)
+			first := prepare(t, h)
+			retry := first
+			retry.Retry = true
+			h.publish(conf.DataCentreItem("passau"), conf.Value{Out: true})
+			h.run(300 * ms)
+			h.arrive(retry)
+			h.run(300 * ms)
+			assertRefused(t, h, ReasonNoCapacity, RunUnknown)
+			h.publish(conf.DataCentreItem("passau"), conf.Value{})
+			h.run(settle)
+			h.takeEffects()
+			id := h.arrive(first)
+			h.run(300 * ms)
+			if a := onlyEffect[StartAttempt](t, h); a.ID != id {
+				t.Fatalf("request %d started, want the delayed one, %d", a.ID, id)
+			}
+		})
+	}
+}
--- a/lib/core/request.go
+++ b/lib/core/request.go
@@ -21,6 +21,8 @@
 	// retriable reports that another attempt is possible if the failure allows it: the body can be sent again, and no
 	// caller higher in the call tree retries the same work.
 	retriable bool
+	// retry reports that the caller sent the request before and does not know whether it ran.
+	retry bool
 	// deduplicated reports that the deduplicator tracks the request, finishPending that it expects a call of Finish.
 	deduplicated, finishPending bool
 	// relayed reports that Relay was sent.
@@ -122,13 +124,15 @@
 }
 
 // refuseUnknownClass refuses a request whose class is not in the configuration. While the configuration may be old,
-// the class may exist, and an earlier request with the same ID or key may have run on another host.
+// the class may exist, and an earlier request with the same ID or key may have run on another host. An earlier request of a
+// retry may also run later, on a host that still knows the class.
 func (s *State) refuseUnknownClass(ev RequestArrived) {
+	current := s.acceptsWork()
 	switch {
-	case s.acceptsWork():
-		s.refuseUntracked(ev, ReasonUnknownClass, RunNo)
-	case ev.Token != "" || ev.Key != "":
+	case (ev.Token != "" || ev.Key != "") && (ev.Retry || !current):
 		s.refuseUntracked(ev, ReasonConfigStale, RunUnknown)
+	case current:
+		s.refuseUntracked(ev, ReasonUnknownClass, RunNo)
 	default:
 		s.refuseUntracked(ev, ReasonConfigStale, RunNo)
 	}
@@ -156,6 +160,7 @@
 		className:    ev.Class,
 		idempotent:   c.def.Idempotent,
 		retriable:    ev.Replayable && ev.Depth == 0,
+		retry:        ev.Retry,
 		deduplicated: !c.def.Idempotent && (ev.Token != "" || ev.Key != ""),
 		queuedAt:     now,
 	}
