proofs: Report the orders whose history is illegal

"the history of orders is Illegal" named no order unless its number of runs alone contradicted its outcomes, so the failure of TestColdStart could not be traced. Each order is now checked on its own after a failure, and those without an explanation are printed with all attempts.

--- a/proofs/caller_test.go
+++ b/proofs/caller_test.go
@@ -344,25 +344,32 @@
 		ops = append(ops, porcupine.Operation{Input: number, Call: end + 1, Output: runs[number], Return: end + 2})
 	}
 	t.Logf("orders: %d, attempts: %d, outcomes: %v, refusals: %v", len(numbers), len(tr.history), tr.counts["orders"], tr.codes)
-	result, info := porcupine.CheckOperationsVerbose(orderModel, ops, time.Minute)
+	result := porcupine.CheckOperationsTimeout(orderModel, ops, time.Minute)
 	if result != porcupine.Ok {
 		t.Errorf("porcupine finds the history of orders %v, want %v", result, porcupine.Ok)
 		tr.reportViolations(t, runs)
 	}
-	_ = info
 	if len(tr.mismatched) > 0 {
 		t.Errorf("orders whose answer does not contain their number: %v", tr.mismatched)
 	}
 }
 
-// reportViolations reports each order whose outcomes contradict its number of runs, whatever the times of its attempts.
+// reportViolations reports each order whose attempts and number of runs contradict the model.
 func (tr *traffic) reportViolations(t *testing.T, runs map[string]int) {
 	t.Helper()
 	by := map[string][]attempt{}
 	for _, a := range tr.history {
 		by[a.orderNumber] = append(by[a.orderNumber], a)
 	}
+	end := int64(time.Since(tr.startedAt))
 	for number, list := range by {
+		ops := []porcupine.Operation{{Input: number, Call: end + 1, Output: runs[number], Return: end + 2}}
+		for _, a := range list {
+			ops = append(ops, porcupine.Operation{Input: number, Call: a.start, Output: a.outcome, Return: a.end})
+		}
+		if !porcupine.CheckOperations(orderModel, ops) {
+			t.Errorf("order %s ran %d times, no order of its attempts explains that: %v", number, runs[number], list)
+		}
 		seen := map[outcome]bool{}
 		for _, a := range list {
 			seen[a.outcome] = true
