watch: Refuse a span of operators' records that is not complete

The span is now refused, and the host reads the records itself when its knowledge gets too old. The added check of TestSpanAfterGapOrAppliedBeforeIsIgnored failed before (position 4, version 7).

--- a/sardinegate/watch/operators.go
+++ b/sardinegate/watch/operators.go
@@ -45,15 +45,14 @@
 	return nil
 }
 
-// applyOperatorRecords applies the records between the positions from and to that are not applied yet. It returns false
-// and changes nothing if the known position is not between them. w.mu must be held.
+// applyOperatorRecords applies the records between the positions from and to, one for each, that are not applied yet. It
+// returns false and changes nothing if the known position is not between them, or if records are missing. w.mu must be
+// held.
 func (w *Watcher) applyOperatorRecords(asOf time.Duration, from, to int64, records []fleet.Record) bool {
-	if from > w.operatorsPosition || to < w.operatorsPosition {
+	if from > w.operatorsPosition || to < w.operatorsPosition || int64(len(records)) != to-from {
 		return false
 	}
-	if skip := w.operatorsPosition - from; skip <= int64(len(records)) {
-		w.applyOperatorChanges(records[skip:])
-	}
+	w.applyOperatorChanges(records[w.operatorsPosition-from:])
 	w.operatorsPosition, w.operatorsAsOf = to, max(w.operatorsAsOf, asOf)
 	return true
 }
--- a/sardinegate/watch/watch_test.go
+++ b/sardinegate/watch/watch_test.go
@@ -209,6 +209,10 @@
 	if v := version(w); v != 1 {
 		t.Fatalf("version %d in force after a span beyond a gap, want 1", v)
 	}
+	w.Handle(span(1, 4, "7"))
+	if p, _ := w.Positions(); p != 1 || version(w) != 1 {
+		t.Fatalf("at position %d with version %d after a span of 3 positions with 1 record, want 1 and 1", p, version(w))
+	}
 	w.Handle(span(1, 2, "8"))
 	if v := version(w); v != 8 {
 		t.Fatalf("version %d, want 8", v)
