pool: Bound the bytes of an upstream that never stops sending

The head of a response had no limit, so each such exchange filled the memory of the host until its time limit, and the body of a response to another request was discarded until then. Bodies were buffered up to 1 MB for each exchange, whatever their number: 100 of them would pass the memory of a host of 184 MB. A head is now limited to 64 KiB, a discarded body to 1 MB, and all bodies in buffers to 32 MB beside 64 KiB each; a longer one is handed over in part, as those above 1 MB are. The limited reader of package front moves to lib/common/limit, which both use.

--- a/sardinegate/front/conn.go
+++ b/sardinegate/front/conn.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"sardinecross.example/lib/common/limit"
 )
 
 const (
@@ -25,7 +27,7 @@
 type conn struct {
 	server      *Server
 	nc          net.Conn
-	headerLimit *limitedReader
+	headerLimit *limit.Reader
 	br          *bufio.Reader
 	bw          *bufio.Writer
 	ctx         context.Context
@@ -43,40 +45,12 @@
 	closing bool
 }
 
-// limitedReader returns headerTooLargeError once it has read as many bytes as a request header may have.
-type limitedReader struct {
-	r         io.Reader
-	remaining int64
-}
-
-// Read implements io.Reader.
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if l.remaining <= 0 {
-		return 0, &headerTooLargeError{}
-	}
-	if int64(len(p)) > l.remaining {
-		p = p[:l.remaining]
-	}
-	n, err := l.r.Read(p)
-	l.remaining -= int64(n)
-	return n, err
-}
-
-// headerTooLargeError reports a request header that is longer than maxHeaderBytes.
-type headerTooLargeError struct{}
-
-// Error implements error.
-func (*headerTooLargeError) Error() string { return "request header exceeds the limit" }
-
-// unlimited is the remaining byte count of a limitedReader while no header is read.
-const unlimited = 1 << 62
-
 func newConn(s *Server, nc net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
-	limit := &limitedReader{nc, unlimited}
+	headerLimit := &limit.Reader{R: nc, Remaining: limit.Unlimited}
 	return &conn{
-		server: s, nc: nc, headerLimit: limit,
-		br: bufio.NewReaderSize(limit, readBufferSize), bw: bufio.NewWriterSize(nc, writeBufferSize),
+		server: s, nc: nc, headerLimit: headerLimit,
+		br: bufio.NewReaderSize(headerLimit, readBufferSize), bw: bufio.NewWriterSize(nc, writeBufferSize),
 		ctx: ctx, cancel: cancel, pipelined: make(chan struct{}, maxPipelined),
 	}
 }
@@ -147,9 +121,9 @@
 			return
 		}
 		_ = c.nc.SetReadDeadline(time.Now().Add(headerTimeout)) // fails only on a closed connection
-		c.headerLimit.remaining = maxHeaderBytes - int64(c.br.Buffered())
+		c.headerLimit.Remaining = maxHeaderBytes - int64(c.br.Buffered())
 		r, err := http.ReadRequest(c.br)
-		c.headerLimit.remaining = unlimited
+		c.headerLimit.Remaining = limit.Unlimited
 		if err != nil {
 			c.rejectRequest(err)
 			return
@@ -171,7 +145,7 @@
 // or timed out within a request, it cancels the requests of the connection instead.
 func (c *conn) rejectRequest(err error) {
 	status := http.StatusBadRequest
-	var header *headerTooLargeError
+	var header *limit.ExceededError
 	var timeout net.Error
 	switch {
 	case errors.As(err, &header):
--- a/sardinegate/pool/conn.go
+++ b/sardinegate/pool/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"sardinecross.example/lib/common/limit"
 )
 
 const (
@@ -24,6 +27,8 @@
 	idleMargin = time.Second
 	// maxSkipped limits the responses to other requests that are skipped before the matching response.
 	maxSkipped = 4
+	// maxHeadBytes bounds the head of one response, in bytes.
+	maxHeadBytes = 64 << 10
 	// maxInterim limits the interim (1xx) responses before the final response.
 	maxInterim = 8
 )
@@ -38,6 +43,7 @@
 // request are noticed and close it at once.
 type conn struct {
 	nc        net.Conn
+	headLimit *limit.Reader
 	br        *bufio.Reader
 	results   chan readResult
 	readNext  chan struct{} // signalled when the body of the last response was read
@@ -47,9 +53,11 @@
 	mu sync.Mutex
 	// request is the request whose response is awaited; nil while the connection is idle.
 	request *http.Request
-	// answered is set once any byte after the request was read.
-	answered bool
-	isClosed bool
+	// answeredAt is when the first byte after the request was read; the zero time before that.
+	answeredAt time.Time
+	isClosed   bool
+	// held is the memory that is released when the connection closes, in bytes.
+	held int64
 
 	reused    bool      // an earlier request was completed
 	idleUntil time.Time // when the connection, if idle, expires
@@ -57,13 +65,16 @@
 }
 
 func newConn(nc net.Conn, onClose func()) *conn {
+	headLimit := &limit.Reader{R: nc, Remaining: limit.Unlimited}
 	c := &conn{
-		nc:       nc,
-		br:       bufio.NewReaderSize(nc, readBufferSize),
-		results:  make(chan readResult, 1),
-		readNext: make(chan struct{}, 1),
-		closed:   make(chan struct{}),
-		onClose:  onClose,
+		nc: nc,
+
+		headLimit: headLimit,
+		br:        bufio.NewReaderSize(headLimit, readBufferSize),
+		results:   make(chan readResult, 1),
+		readNext:  make(chan struct{}, 1),
+		closed:    make(chan struct{}),
+		onClose:   onClose,
 	}
 	go c.readResponses()
 	return c
@@ -81,6 +92,27 @@
 	})
 }
 
+// hold releases n bytes of the pool's memory when the connection closes, or now if it is closed.
+func (c *conn) hold(m *limit.Memory, n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isClosed {
+		m.Release(n)
+		return
+	}
+	c.held = n
+}
+
+// answeringFor returns the time since the first byte after the request was read, 0 before that.
+func (c *conn) answeringFor() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answeredAt.IsZero() {
+		return 0
+	}
+	return max(time.Since(c.answeredAt), 1)
+}
+
 // usable reports whether the connection is open and its idle time has not expired.
 func (c *conn) usable(now time.Time) bool {
 	c.mu.Lock()
@@ -95,7 +127,7 @@
 	if c.isClosed {
 		return false
 	}
-	c.request, c.answered = req, false
+	c.request, c.answeredAt = req, time.Time{}
 	return true
 }
 
@@ -105,7 +137,9 @@
 		_, err := c.br.Peek(1)
 		c.mu.Lock()
 		req := c.request
-		c.answered = c.answered || err == nil
+		if err == nil && c.answeredAt.IsZero() {
+			c.answeredAt = time.Now()
+		}
 		c.mu.Unlock()
 		if req == nil {
 			c.close()
@@ -113,7 +147,9 @@
 		}
 		var resp *http.Response
 		if err == nil {
+			c.headLimit.Remaining = maxHeadBytes - int64(c.br.Buffered())
 			resp, err = http.ReadResponse(c.br, req) //nolint:bodyclose // closing the connection ends the body
+			c.headLimit.Remaining = limit.Unlimited
 		}
 		c.results <- readResult{resp, err}
 		if err != nil {
@@ -155,8 +191,8 @@
 			if skipped++; skipped > maxSkipped || r.resp.Close {
 				return nil, &NoMatchingResponseError{}
 			}
-			if _, err := io.Copy(io.Discard, r.resp.Body); err != nil {
-				return nil, err
+			if n, err := io.Copy(io.Discard, io.LimitReader(r.resp.Body, maxBufferedResponse)); err != nil || n == maxBufferedResponse {
+				return nil, cmp.Or(err, error(&NoMatchingResponseError{}))
 			}
 		}
 		c.readNext <- struct{}{}
--- a/sardinegate/pool/errors.go
+++ b/sardinegate/pool/errors.go
@@ -1,6 +1,9 @@
 package pool
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // ConnectError reports that no connection to an upstream could be established. Nothing was sent.
 type ConnectError struct {
@@ -26,7 +29,9 @@
 	Address string
 	// Reused is set if the connection carried an earlier request, Answered if any byte was read after this request.
 	Reused, Answered bool
-	Err              error
+	// AnsweringFor is the time from that byte to the end of the exchange.
+	AnsweringFor time.Duration
+	Err          error
 }
 
 // Error implements error.
--- a/sardinegate/pool/pool.go
+++ b/sardinegate/pool/pool.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"sardinecross.example/lib/common/limit"
 )
 
 const (
@@ -22,8 +24,15 @@
 	keepAliveIdle, keepAliveInterval, keepAliveCount = 2 * time.Second, time.Second, 2
 	// sweepInterval is the time between checks for idle connections that have expired.
 	sweepInterval = time.Second
-	// maxBufferedResponse is the largest response body, in bytes, that Do reads completely before it returns.
+	// maxBufferedResponse is the largest response body, in bytes, that Do reads completely before it returns, if memory
+	// allows.
 	maxBufferedResponse = 1 << 20
+	// maxBufferedTotal bounds the bytes of response bodies beyond bodyStep that the pool buffers at the same time. If it is
+	// reached, Do returns when it has read bodyStep bytes or more of a body.
+	maxBufferedTotal = 32 << 20
+	// bodyStep is the size of the first step in which a body is buffered, in bytes. Each further step doubles what is
+	// buffered.
+	bodyStep = 64 << 10
 	// initialBodyBuffer is the initial buffer size for a response body of unknown length, in bytes.
 	initialBodyBuffer = 8 << 10
 )
@@ -63,6 +72,7 @@
 	// Dials counts the attempts to open a connection.
 	Dials               atomic.Int64
 	maxConnsPerUpstream atomic.Int64
+	memory              *limit.Memory // for the bodies of responses
 	stopSweep           chan struct{}
 	wg                  sync.WaitGroup
 
@@ -79,6 +89,7 @@
 		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		}},
+		memory:    limit.NewMemory(maxBufferedTotal),
 		stopSweep: make(chan struct{}),
 		idle:      make(map[string][]*conn),
 		openCount: make(map[string]int),
@@ -174,6 +185,7 @@
 	}
 	var c *conn
 	c = newConn(nc, func() {
+		p.memory.Release(c.held)
 		p.mu.Lock()
 		delete(p.conns, c)
 		p.mu.Unlock()
@@ -209,11 +221,9 @@
 	resp, err := p.roundTrip(ctx, c, r, stop)
 	if err != nil {
 		stop()
-		c.mu.Lock()
-		answered := c.answered
-		c.mu.Unlock()
+		answeringFor := c.answeringFor()
 		c.close()
-		return nil, &ExchangeError{r.Address, c.reused, answered, err}
+		return nil, &ExchangeError{r.Address, c.reused, answeringFor > 0, answeringFor, err}
 	}
 	return resp, nil
 }
@@ -240,11 +250,16 @@
 		return nil, err
 	}
 	out := &Response{Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength}
-	out.Body, err = readBody(resp)
+	buffered, taken, whole, err := p.readBody(resp)
+	if err != nil || whole {
+		p.memory.Release(taken)
+	}
 	if err != nil {
 		return nil, err
 	}
-	if len(out.Body) > maxBufferedResponse {
+	out.Body = buffered
+	if !whole {
+		c.hold(p.memory, taken)
 		out.BodyRest = &bodyRest{Reader: resp.Body, close: func() { stop(); c.close() }}
 		return out, nil
 	}
@@ -272,15 +287,29 @@
 	c.close()
 }
 
-// readBody reads at most maxBufferedResponse+1 bytes of a body; the extra byte shows that the body is longer.
-func readBody(resp *http.Response) ([]byte, error) {
-	n := int64(initialBodyBuffer)
-	if resp.ContentLength >= 0 {
-		n = min(resp.ContentLength, maxBufferedResponse)
+// readBody reads a body, or the beginning of one that is longer than maxBufferedResponse or than the pool's memory allows.
+// whole is set if it has read the end. taken is the memory that it took, in bytes.
+func (p *Pool) readBody(resp *http.Response) (body []byte, taken int64, whole bool, err error) {
+	capacity, end := int64(initialBodyBuffer), int64(bodyStep)
+	if n := resp.ContentLength; n >= 0 {
+		capacity = min(n, bodyStep)
+		if n > bodyStep && n <= maxBufferedResponse && p.memory.Take(n) {
+			capacity, end, taken = n, n+1, n
+		}
+	}
+	buf := bytes.NewBuffer(make([]byte, 0, capacity+bytes.MinRead))
+	for {
+		_, err = buf.ReadFrom(io.LimitReader(resp.Body, end-int64(buf.Len())))
+		switch n := int64(buf.Len()); {
+		case err != nil || n < end:
+			return buf.Bytes(), taken, true, err
+		case n > maxBufferedResponse || !p.memory.Take(end):
+			return buf.Bytes(), taken, false, nil
+		}
+		taken += end
+		end = min(2*end, maxBufferedResponse+1)
+		buf.Grow(int(end) - buf.Len() + bytes.MinRead)
 	}
-	buf := bytes.NewBuffer(make([]byte, 0, n+bytes.MinRead))
-	_, err := buf.ReadFrom(io.LimitReader(resp.Body, maxBufferedResponse+1))
-	return buf.Bytes(), err
 }
 
 // bodyRest reads the part of a long response body that is not buffered. Close also closes the connection.
