entry, broker: Avoid upstreams whose responses never end

The attempt of a response above 1 MB ended as served when its beginning was read, so an upstream that sends without end looked quick and went on getting requests; one that begins a response and never ends it was abandoned without a mark, and a probe that got a body without end counted as answered. The caller's connection was cut at the time limit, which stays. The attempt of a long response now ends with its body: served if complete, failed if it breaks off, or if its length is unknown and it reaches the time limit while the caller keeps reading; abandoned if the caller leaves or stops reading. An abandoned attempt whose response has taken more than a second since its first byte counts as failed. A probe whose body does not end counts as lost. A long response no longer holds its first megabyte until its end. Tests: TestLongResponseEndsTheAttemptAtItsEnd, TestResponseThatNeverEndsCountsAgainstTheUpstream.

--- a/sardinegate/broker/probe.go
+++ b/sardinegate/broker/probe.go
@@ -162,7 +162,9 @@
 		return
 	}
 	if resp.BodyRest != nil {
-		_ = resp.BodyRest.Close() // health responses are short; the rest of a longer one is not needed
+		_ = resp.BodyRest.Close() // the connection is not used again
+		b.recordLost(ctx, p, u, "health response does not end")
+		return
 	}
 	a := b.deps.Codec.ParseResponse(resp.Status, resp.Header)
 	report, ok := b.deps.Codec.ParseLoad(resp.Header)
--- a/sardinegate/entry/entry.go
+++ b/sardinegate/entry/entry.go
@@ -291,10 +291,13 @@
 		out.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
 	w.WriteHeader(resp.Status)
+	if resp.BodyRest != nil {
+		defer resp.BodyRest.Close() //nolint:errcheck // the connection is not used again
+	}
 	if _, err := w.Write(resp.Body); err != nil || resp.BodyRest == nil {
 		return
 	}
-	defer resp.BodyRest.Close() //nolint:errcheck // the connection is not used again
+	resp.Body = nil // a long response must not hold its beginning until its end
 	if _, err := io.Copy(w, resp.BodyRest); err != nil {
 		panic(http.ErrAbortHandler) // cuts the connection, so that the caller does not take the response for complete
 	}
--- a/sardinegate/entry/entry_test.go
+++ b/sardinegate/entry/entry_test.go
@@ -354,3 +354,93 @@
 	r.Header.Set("Id", "1")
 	f.ServeHTTP(httptest.NewRecorder(), r)
 }
+
+// bodyReader reads zeros without end, or up to the end of n bytes if n is positive, until ctx ends.
+type bodyReader struct {
+	ctx context.Context
+	n   int
+}
+
+func (b *bodyReader) Read(p []byte) (int, error) {
+	if err := b.ctx.Err(); err != nil {
+		return 0, err
+	}
+	if b.n--; b.n == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(time.Millisecond)
+	return len(p), nil
+}
+
+func (*bodyReader) Close() error { return nil }
+
+// stoppingRecorder records a response. If stops is set, its writes take longer than the upstream is given for its response.
+type stoppingRecorder struct {
+	*httptest.ResponseRecorder
+	stops bool
+}
+
+func (r *stoppingRecorder) Write(p []byte) (int, error) {
+	if r.stops {
+		time.Sleep(300 * time.Millisecond)
+	}
+	return r.ResponseRecorder.Write(p)
+}
+
+// Guards against an upstream that goes on getting requests although its responses never end, against one that is avoided
+// because of what a caller did, and against a response that looks complete although it was broken off.
+func TestLongResponseEndsTheAttemptAtItsEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		reads, length int
+		callerLeaves  bool
+		callerStops   bool
+		want          grant.Outcome
+		aborted       bool
+	}{
+		"complete":               {5, -1, false, false, grant.Served, false},
+		"without end":            {0, -1, false, false, grant.Failed, true},
+		"late with known length": {0, 1 << 30, false, false, grant.Abandoned, true},
+		"caller leaves":          {0, -1, true, false, grant.Abandoned, true},
+		"caller stops reading":   {0, -1, false, true, grant.Abandoned, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, map[string]responder{"a": func(ctx context.Context, r *pool.Request) (*pool.Response, error) {
+				resp, err := served(ctx, r)
+				resp.BodyRest, resp.ContentLength = &bodyReader{ctx, c.reads}, int64(c.length)
+				return resp, err
+			}})
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if c.callerLeaves {
+				time.AfterFunc(20*time.Millisecond, cancel)
+			}
+			r := httptest.NewRequest(http.MethodGet, "/once/x", nil).WithContext(ctx)
+			r.Host = "a.example"
+			r.Header.Set("Id", "1")
+			aborted := func() (aborted bool) {
+				defer func() { aborted = recover() != nil }()
+				f.ServeHTTP(&stoppingRecorder{httptest.NewRecorder(), c.callerStops}, r)
+				return false
+			}()
+			f.assertAttemptsEnded(t, 1)
+			if got := f.selector.ended[0].Outcome; got != c.want || aborted != c.aborted {
+				t.Fatalf("the attempt ended with outcome %d and the caller's connection was cut: %t, want %d and %t", got, aborted, c.want, c.aborted)
+			}
+		})
+	}
+}
+
+// Guards against an upstream that goes on getting requests although it begins responses and never ends them, so that
+// each attempt there is abandoned.
+func TestResponseThatNeverEndsCountsAgainstTheUpstream(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for answering, want := range map[time.Duration]grant.Outcome{
+		0: grant.Abandoned, 100 * time.Millisecond: grant.Abandoned, maxAnswerTime + 1: grant.Failed,
+	} {
+		_, got := classifyError(ctx, &pool.ExchangeError{AnsweringFor: answering, Answered: answering > 0, Err: io.ErrUnexpectedEOF})
+		if got != want {
+			t.Errorf("outcome %d of an abandoned attempt that was being answered for %v, want %d", got, answering, want)
+		}
+	}
+}
--- a/sardinegate/entry/run.go
+++ b/sardinegate/entry/run.go
@@ -24,6 +24,9 @@
 	// lastHedgeShare is the share of the target, from the arrival of the request, after which the timer for hedges is not
 	// started again.
 	lastHedgeShare = 0.95
+	// maxAnswerTime is how long a response may take from its first byte until an attempt that is abandoned before its end
+	// counts against the upstream.
+	maxAnswerTime = time.Second
 )
 
 // result tells how an attempt ended.
@@ -235,7 +238,8 @@
 	return nil
 }
 
-// endAttempt classifies the result of an attempt and reports it to the host that granted it.
+// endAttempt classifies the result of an attempt and reports it to the host that granted it, for a response that is still
+// being read when that has ended.
 func (h *Handler) endAttempt(ctx context.Context, c *call, a *attempt, resp *pool.Response, err error) {
 	a.took, a.resp, a.err = time.Since(a.start), resp, err
 	end := grant.AttemptEnd{Took: a.took}
@@ -248,7 +252,14 @@
 		}
 	}
 	h.deps.Recorder.Attempt(c.service, a.result.String(), a.took)
-	h.deps.Selector.EndAttempt(a.decision, end)
+	if resp == nil || resp.BodyRest == nil {
+		h.deps.Selector.EndAttempt(a.decision, end)
+		return
+	}
+	streamBody(ctx, resp, end.Outcome, func(o grant.Outcome) {
+		end.Outcome, end.Took = o, time.Since(a.start)
+		h.deps.Selector.EndAttempt(a.decision, end)
+	})
 }
 
 // classifyError returns the result of an attempt that ended with an error, for the request and for the host that granted
@@ -256,6 +267,7 @@
 func classifyError(ctx context.Context, err error) (result, grant.Outcome) {
 	var unreached *pool.ConnectError
 	var busy *pool.ConnLimitError
+	var exchange *pool.ExchangeError
 	switch {
 	case errors.As(err, &busy):
 		return unsent, grant.Unused
@@ -264,7 +276,7 @@
 			return unsent, grant.Abandoned
 		}
 		return unsent, grant.Unreached
-	case ctx.Err() != nil:
+	case ctx.Err() != nil && !(errors.As(err, &exchange) && exchange.AnsweringFor > maxAnswerTime):
 		return unknown, grant.Abandoned
 	}
 	return unknown, grant.Failed
