watch: Do not send again what another host has sent

A host that finds another's span applied when its own read ends now sends only what that span lacks, and nothing if that is nothing. The operators' records begin at the known position, like the changes of upstreams. TestWhatAnotherHostHasSentIsNotSentAgain fails without the comparison.

--- a/sardinegate/watch/list.go
+++ b/sardinegate/watch/list.go
@@ -22,7 +22,8 @@
 }
 
 // applyListRecords applies the records between the positions from and to that this host has read, and sends the changes to
-// the other hosts. It does nothing if the known position is not between them. w.mu must be held.
+// the other hosts, unless there are none and another host has told them of its own read meanwhile. It does nothing if the
+// known position is not between from and to. w.mu must be held.
 func (w *Watcher) applyListRecords(asOf time.Duration, from, to int64, records []fleet.Record) {
 	position := w.list.Offset
 	if from > position || to < position {
@@ -31,8 +32,11 @@
 	// The changes are those to the list at its present position, which a span of another host may have moved during the
 	// read. The span that is sent must not begin earlier: a host there would miss the changes before the position.
 	changes := w.effectiveChanges(records[position-from:])
+	toldByOther := asOf-w.list.AsOf < minReadAge
 	w.applyListChanges(asOf, position, to, changes)
-	w.sendListChanges(asOf, position, to, changes)
+	if len(changes) > 0 || !toldByOther {
+		w.sendListChanges(asOf, position, to, changes)
+	}
 }
 
 // sendListChanges sends the changes that this host read between the positions from and to to all live hosts. w.mu must be
--- a/sardinegate/watch/model_test.go
+++ b/sardinegate/watch/model_test.go
@@ -316,3 +316,38 @@
 	}
 	return records, next, err
 }
+
+// Guards against every host that reads the store at the same time sending the same records to all others, which takes
+// their links for what they know already.
+func TestWhatAnotherHostHasSentIsNotSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newMemorySource()
+		s.put(fleet.Operators, "config", 1)
+		s.put(fleet.Upstreams, "a", upstream("a"))
+		b := &bus{rnd: rand.New(rand.NewPCG(1, 1))}
+		var sent []*mesh.Message
+		b.sent = func(m *mesh.Message) { sent = append(sent, m) }
+		source := &hookedSource{memorySource: s}
+		startHosts(t, b, source, 1)
+		w := b.hosts()["h00"]
+		eventually(t, "the first view", func() bool { return version(w) == 1 && w.View().Listed })
+		synctest.Wait()
+		sent = nil
+		source.afterRead(func() {
+			w.Handle(&mesh.Message{From: "h01", ListChanges: &mesh.ListChanges{Span: mesh.Span{From: 1, To: 2}, Changes: []fleet.Change{{ID: "a"}}}})
+		})
+		s.put(fleet.Upstreams, "a", nil)
+		eventually(t, "the change", func() bool { return len(w.View().Upstreams) == 0 })
+		time.Sleep(minReadAge / 2)
+		for _, m := range sent {
+			if m.ListChanges != nil {
+				t.Errorf("sent %+v, which another host had sent before", m.ListChanges)
+			}
+		}
+		time.Sleep(minReadAge)
+		synctest.Wait()
+		if len(sent) == 0 {
+			t.Error("nothing was sent although no other host has read for longer than minReadAge")
+		}
+	})
+}
--- a/sardinegate/watch/operators.go
+++ b/sardinegate/watch/operators.go
@@ -15,16 +15,26 @@
 		position: func() int64 { p, _ := w.Positions(); return p },
 		age:      func() time.Duration { age, _ := w.Ages(); return age },
 		replace:  w.replaceOperatorRecords,
-		apply: func(asOf time.Duration, from, to int64, records []fleet.Record) {
-			if w.applyOperatorRecords(asOf, from, to, records) {
-				w.deps.Node.Broadcast(&mesh.Message{OperatorRecords: &mesh.OperatorRecords{Span: mesh.Span{From: from, To: to, Age: w.now() - asOf}, Records: records}})
-			}
-		},
-		loaded: func() bool { return w.View().Routes != nil },
-		expire: func() {},
+		apply:    w.applyReadRecords,
+		loaded:   func() bool { return w.View().Routes != nil },
+		expire:   func() {},
 	}
 }
 
+// applyReadRecords applies the operators' records between the positions from and to that this host has read, and sends those
+// to the other hosts that none has sent meanwhile. It does nothing if the known position is not between from and to. w.mu
+// must be held.
+func (w *Watcher) applyReadRecords(asOf time.Duration, from, to int64, records []fleet.Record) {
+	position := w.operatorsPosition
+	toldByOther := asOf-w.operatorsAsOf < minReadAge
+	if !w.applyOperatorRecords(asOf, from, to, records) || position == to && toldByOther {
+		return
+	}
+	w.deps.Node.Broadcast(&mesh.Message{OperatorRecords: &mesh.OperatorRecords{
+		Span: mesh.Span{From: position, To: to, Age: w.now() - asOf}, Records: records[position-from:],
+	}})
+}
+
 // replaceOperatorRecords applies the newest records of all keys as of position to. Known keys that are missing from them
 // are removed. It fails with a StaleError if the known position is after to. w.mu must be held.
 func (w *Watcher) replaceOperatorRecords(asOf time.Duration, to int64, records []fleet.Record) error {
