--- a/sardinegate/entry/run.go
+++ b/sardinegate/entry/run.go
@@ -276,7 +276,9 @@
 			return unsent, grant.Abandoned
 		}
 		return unsent, grant.Unreached
-	case ctx.Err() != nil && !(errors.As(err, &exchange) && exchange.AnsweringFor > maxAnswerTime):
+	case errors.As(err, &exchange) && exchange.AnsweringFor > maxAnswerTime:
+		return unknown, grant.Failed
+	case ctx.Err() != nil:
 		return unknown, grant.Abandoned
 	}
 	return unknown, grant.Failed
