watch: Guard the messages that a test's bus keeps by its mutex

make test failed with a data race in TestWhatAnotherHostHasSentIsNotSentAgain: the test read the slice of sent messages while a watcher sent one. The bus now keeps them under its mutex.

--- a/sardinegate/watch/model_test.go
+++ b/sardinegate/watch/model_test.go
@@ -17,15 +17,29 @@
 )
 
 // bus connects watchers without a network. It loses messages with probability loss and delays the others by up to
-// maxDelay. Messages are also passed to sent, if it is set.
+// maxDelay.
 type bus struct {
 	loss     float64
 	maxDelay time.Duration
-	sent     func(m *mesh.Message)
 
 	mu       sync.Mutex
 	rnd      *rand.Rand
 	watchers map[string]*Watcher
+	sent     []*mesh.Message // since the last call of takeSent
+}
+
+// takeSent returns the changes of the list of upstreams that were sent since the last call.
+func (b *bus) takeSent() []*mesh.ListChanges {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []*mesh.ListChanges
+	for _, m := range b.sent {
+		if m.ListChanges != nil {
+			out = append(out, m.ListChanges)
+		}
+	}
+	b.sent = nil
+	return out
 }
 
 // hosts returns the watchers by host.
@@ -65,9 +79,9 @@
 
 func (n busNode) Broadcast(m *mesh.Message) {
 	m.From = n.host
-	if n.sent != nil {
-		n.sent(m)
-	}
+	n.mu.Lock()
+	n.sent = append(n.sent, m)
+	n.mu.Unlock()
 	for host, w := range n.hosts() {
 		if host == n.host || n.float() < n.loss {
 			continue
@@ -262,12 +276,6 @@
 		s.put(fleet.Operators, "config", 1)
 		s.put(fleet.Upstreams, "a", upstream("a"))
 		b := &bus{rnd: rand.New(rand.NewPCG(1, 1))}
-		var sent []*mesh.ListChanges
-		b.sent = func(m *mesh.Message) {
-			if m.ListChanges != nil {
-				sent = append(sent, m.ListChanges)
-			}
-		}
 		source := &hookedSource{memorySource: s}
 		startHosts(t, b, source, 1)
 		w := b.hosts()["h00"]
@@ -281,7 +289,7 @@
 		s.put(fleet.Upstreams, "b", upstream("b"))
 		eventually(t, "the change that only this host has read", func() bool { _, ok := w.View().Upstreams["b"]; return ok })
 		synctest.Wait()
-		for _, l := range sent {
+		for _, l := range b.takeSent() {
 			if l.Span.From < 2 && l.Span.To >= 2 && (len(l.Changes) == 0 || l.Changes[0].ID != "a") {
 				t.Fatalf("the span from %d to %d was sent with the changes %+v, without the removal of upstream a at position 1", l.Span.From, l.Span.To, l.Changes)
 			}
@@ -325,28 +333,24 @@
 		s.put(fleet.Operators, "config", 1)
 		s.put(fleet.Upstreams, "a", upstream("a"))
 		b := &bus{rnd: rand.New(rand.NewPCG(1, 1))}
-		var sent []*mesh.Message
-		b.sent = func(m *mesh.Message) { sent = append(sent, m) }
 		source := &hookedSource{memorySource: s}
 		startHosts(t, b, source, 1)
 		w := b.hosts()["h00"]
 		eventually(t, "the first view", func() bool { return version(w) == 1 && w.View().Listed })
 		synctest.Wait()
-		sent = nil
+		b.takeSent()
 		source.afterRead(func() {
 			w.Handle(&mesh.Message{From: "h01", ListChanges: &mesh.ListChanges{Span: mesh.Span{From: 1, To: 2}, Changes: []fleet.Change{{ID: "a"}}}})
 		})
 		s.put(fleet.Upstreams, "a", nil)
 		eventually(t, "the change", func() bool { return len(w.View().Upstreams) == 0 })
 		time.Sleep(minReadAge / 2)
-		for _, m := range sent {
-			if m.ListChanges != nil {
-				t.Errorf("sent %+v, which another host had sent before", m.ListChanges)
-			}
+		for _, l := range b.takeSent() {
+			t.Errorf("sent %+v, which another host had sent before", l)
 		}
 		time.Sleep(minReadAge)
 		synctest.Wait()
-		if len(sent) == 0 {
+		if len(b.takeSent()) == 0 {
 			t.Error("nothing was sent although no other host has read for longer than minReadAge")
 		}
 	})
