--- a/sardinegate/pool/conn.go
+++ b/sardinegate/pool/conn.go
@@ -67,8 +67,7 @@
 func newConn(nc net.Conn, onClose func()) *conn {
 	headLimit := &limit.Reader{R: nc, Remaining: limit.Unlimited}
 	c := &conn{
-		nc: nc,
-
+		nc:        nc,
 		headLimit: headLimit,
 		br:        bufio.NewReaderSize(headLimit, readBufferSize),
 		results:   make(chan readResult, 1),
