--- a/sardinegate/watch/model_test.go
+++ b/sardinegate/watch/model_test.go
@@ -268,25 +268,31 @@
 	}
 }
 
+// startHookedHost starts one host that lists upstream a, at position 1, and reads a store whose reads can be hooked.
+func startHookedHost(t *testing.T) (*bus, *hookedSource, *Watcher) {
+	t.Helper()
+	s := newMemorySource()
+	s.put(fleet.Operators, "config", 1)
+	s.put(fleet.Upstreams, "a", upstream("a"))
+	b := &bus{rnd: rand.New(rand.NewPCG(1, 1))}
+	source := &hookedSource{memorySource: s}
+	startHosts(t, b, source, 1)
+	w := b.hosts()["h00"]
+	eventually(t, "the first view", func() bool { return version(w) == 1 && w.View().Listed })
+	return b, source, w
+}
+
+// removalOfA is the message in which another host tells of the removal of upstream a at position 1.
+var removalOfA = &mesh.Message{From: "h01", ListChanges: &mesh.ListChanges{Span: mesh.Span{From: 1, To: 2}, Changes: []fleet.Change{{ID: "a"}}}}
+
 // Guards against a span that covers changes without telling them: a second host reads the same positions, applies the
 // span of the first one before its own read ends, and must not send these positions without the changes.
 func TestSpanSentTellsAllChangesOfItsPositions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newMemorySource()
-		s.put(fleet.Operators, "config", 1)
-		s.put(fleet.Upstreams, "a", upstream("a"))
-		b := &bus{rnd: rand.New(rand.NewPCG(1, 1))}
-		source := &hookedSource{memorySource: s}
-		startHosts(t, b, source, 1)
-		w := b.hosts()["h00"]
-		eventually(t, "the first view", func() bool { return version(w) == 1 && w.View().Listed })
-		source.afterRead(func() {
-			w.Handle(&mesh.Message{From: "h01", ListChanges: &mesh.ListChanges{
-				Span: mesh.Span{From: 1, To: 2}, Changes: []fleet.Change{{ID: "a"}},
-			}})
-		})
-		s.put(fleet.Upstreams, "a", nil)
-		s.put(fleet.Upstreams, "b", upstream("b"))
+		b, source, w := startHookedHost(t)
+		source.afterRead(func() { w.Handle(removalOfA) })
+		source.put(fleet.Upstreams, "a", nil)
+		source.put(fleet.Upstreams, "b", upstream("b"))
 		eventually(t, "the change that only this host has read", func() bool { _, ok := w.View().Upstreams["b"]; return ok })
 		synctest.Wait()
 		for _, l := range b.takeSent() {
@@ -329,20 +335,11 @@
 // their links for what they know already.
 func TestWhatAnotherHostHasSentIsNotSentAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newMemorySource()
-		s.put(fleet.Operators, "config", 1)
-		s.put(fleet.Upstreams, "a", upstream("a"))
-		b := &bus{rnd: rand.New(rand.NewPCG(1, 1))}
-		source := &hookedSource{memorySource: s}
-		startHosts(t, b, source, 1)
-		w := b.hosts()["h00"]
-		eventually(t, "the first view", func() bool { return version(w) == 1 && w.View().Listed })
+		b, source, w := startHookedHost(t)
 		synctest.Wait()
 		b.takeSent()
-		source.afterRead(func() {
-			w.Handle(&mesh.Message{From: "h01", ListChanges: &mesh.ListChanges{Span: mesh.Span{From: 1, To: 2}, Changes: []fleet.Change{{ID: "a"}}}})
-		})
-		s.put(fleet.Upstreams, "a", nil)
+		source.afterRead(func() { w.Handle(removalOfA) })
+		source.put(fleet.Upstreams, "a", nil)
 		eventually(t, "the change", func() bool { return len(w.View().Upstreams) == 0 })
 		time.Sleep(minReadAge / 2)
 		for _, l := range b.takeSent() {
