notice, broker, entry, mesh: Obey what upstreams say about further requests

Cause of harm: the store's list shows a leaving upstream late or never, so it went on getting requests. Change: fleet.Notice is what a response says; lib/notice holds it by lifetime of the upstream, for all hosts (leaving) or for one (pause, at most 2 min). The host obeys it right before it writes, so also for attempts that were granted, queued, offered as hedges or wait for a connection; a granted upstream that may not be used is replaced by another, where the request was refused before. The owner learns it with the end of the attempt and doesn't grant the upstream again; it tells all hosts while the list shows a leaving upstream as ready, and a host that starts is told at once. Probes obey it too, and no longer take the late copy of a response for the health response.

--- a/lib/common/codec/codec.go
+++ b/lib/common/codec/codec.go
@@ -23,7 +23,13 @@
 
 // Decoder returns a strict decoding mode. It rejects duplicate keys, unknown fields, tags and indefinite lengths, so that a
 // record that one host rejects is rejected by every host.
-func Decoder(b Bounds) cbor.DecMode {
+func Decoder(b Bounds) cbor.DecMode { return decoder(b, cbor.ExtraDecErrorUnknownField) }
+
+// TolerantDecoder returns a decoding mode that is like that of Decoder but ignores unknown fields, which a program of a later
+// version may send.
+func TolerantDecoder(b Bounds) cbor.DecMode { return decoder(b, cbor.ExtraDecErrorNone) }
+
+func decoder(b Bounds, unknown cbor.ExtraDecErrorCond) cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
 		IndefLength:       cbor.IndefLengthForbidden,
@@ -31,7 +37,7 @@
 		MaxNestedLevels:   b.Depth,
 		MaxArrayElements:  b.Elements,
 		MaxMapPairs:       maxMapPairs,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		ExtraReturnErrors: unknown,
 		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
 	}.DecMode()
 	if err != nil {
--- a/lib/fleet/headers.go
+++ b/lib/fleet/headers.go
@@ -27,6 +27,11 @@
 	NotRun bool
 	// Upstream is the ID of the upstream that responded, empty if it did not name itself.
 	Upstream string
+	// Notice is what the upstream says about further requests.
+	Notice Notice
+	// InvalidRetryAfter is the text of a time to retry that could not be parsed, empty if there was none. Notice has no
+	// RetryAfter then.
+	InvalidRetryAfter string
 }
 
 // HeaderCodec reads and writes the platform's headers in requests and responses between callers, hosts and upstreams.
--- a/lib/grant/pick.go
+++ b/lib/grant/pick.go
@@ -11,7 +11,7 @@
 // else the selection tells why none was found. rnd is uniform in [0,1) and breaks ties.
 func (s *State) Decide(now time.Duration, rnd float64, req AttemptRequest) Selection {
 	svc := s.service(req.Service)
-	if !req.CountsAsRetry {
+	if !req.CountsAsRetry && len(req.Tried) == 0 { // a request that asks again was counted before
 		svc.budgetFor(&req).countRequest(now, s.cfg.RetryWindow)
 	}
 	sel := s.tryGrant(now, rnd, svc, &req)
@@ -30,7 +30,7 @@
 	c := &UpstreamCounts{Listed: len(svc.upstreams), Waiting: len(svc.queue)}
 	for _, u := range svc.upstreams {
 		switch {
-		case !s.inService(u):
+		case !s.inService(u) || u.notices.Leaving():
 			c.Out++
 		case slices.Contains(req.Tried, u.ID):
 			c.Tried++
@@ -38,7 +38,7 @@
 			c.Cold++
 		case u.dead(now):
 			c.Dead++
-		case u.inFlight(now) >= u.slots():
+		case u.inFlight(now) >= u.slots() || u.notices.Pause(now, req.ID.Host) > 0:
 			c.Full++
 		}
 	}
@@ -107,7 +107,9 @@
 	s.searches++
 	bestCost, belowKnee := 0.0, 0
 	n := len(svc.upstreams)
-	allDead := !slices.ContainsFunc(svc.upstreams, func(u *upstream) bool { return s.inService(u) && !u.dead(now) })
+	allDead := !slices.ContainsFunc(svc.upstreams, func(u *upstream) bool {
+		return s.inService(u) && !u.notices.Blocks(now, req.ID.Host) && !u.dead(now)
+	})
 	for i := range n {
 		u := svc.upstreams[(i+int(rnd*float64(n)))%n]
 		if !s.usable(now, svc, u, req) || u.dead(now) && !allDead {
@@ -140,10 +142,10 @@
 	return u.State == fleet.Ready && !out
 }
 
-// usable reports whether a request may be sent to u. A cold upstream needs a token of its cold rate; only the owner
+// usable reports whether a request may be sent to u by the host that asks. A cold upstream needs a token of its cold rate; only the owner
 // grants these, because hosts that decide on their own would exceed the rate together.
 func (s *State) usable(now time.Duration, svc *service, u *upstream, req *AttemptRequest) bool {
-	if !s.inService(u) || slices.Contains(req.Tried, u.ID) {
+	if !s.inService(u) || u.notices.Blocks(now, req.ID.Host) || slices.Contains(req.Tried, u.ID) {
 		return false
 	}
 	if u.isCold(now) {
--- a/lib/grant/request.go
+++ b/lib/grant/request.go
@@ -61,7 +61,8 @@
 	Target, TimeLeft time.Duration
 	// Elapsed is the time since the caller's request arrived.
 	Elapsed time.Duration
-	// Tried lists the IDs of the upstreams to which the request was already sent, the latest last.
+	// Tried lists the IDs of the upstreams that the request may not be sent to, the latest last: it was sent to them, or
+	// they were granted and could not be used.
 	Tried []string
 	// AttemptsLeft is the number of attempts that the route still allows after this one.
 	AttemptsLeft int
@@ -122,10 +123,12 @@
 // first group that it fits.
 type UpstreamCounts struct {
 	_ struct{} `cbor:",toarray"`
-	// Listed counts all upstreams, Out those that are leaving or whose data centre is out of service.
+	// Listed counts all upstreams, Out those that are leaving, by the list or by their own word, or whose data centre is out
+	// of service.
 	Listed, Out int
 	// Tried counts those that already got the request, Cold those whose cold rate is used up (or all cold ones, if the
-	// host decides without the owner), Dead those that do not answer probes, Full those without a free slot.
+	// host decides without the owner), Dead those that do not answer probes, Full those without a free slot or that want no
+	// request of the asking host for a time.
 	Tried, Cold, Dead, Full int
 	// Waiting is the number of queued requests of the service.
 	Waiting int
--- a/lib/grant/settings.go
+++ b/lib/grant/settings.go
@@ -40,6 +40,9 @@
 	// assumed for a machine without a report.
 	normalSlowdownPercent  = 100.0
 	defaultSlowdownPercent = 180.0
+	// minSlowdownPercent and maxSlowdownPercent bound a reported slowdown, so that a false report cannot spoil the average
+	// response time of its service.
+	minSlowdownPercent, maxSlowdownPercent = 10.0, 10_000.0
 	// slowdownDecay is the time constant with which the estimated slowdown of a machine returns from the last report to
 	// defaultSlowdownPercent, as an old report says little about the present.
 	slowdownDecay = 400 * time.Millisecond
--- a/lib/grant/state.go
+++ b/lib/grant/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sardinecross.example/lib/fleet"
+	"sardinecross.example/lib/notice"
 )
 
 // service is the state that the upstreams of a service share.
@@ -24,12 +25,13 @@
 	services     map[string]*service
 	byID         map[string]*upstream
 	outOfService map[string]struct{} // data centres taken out of service
+	notices      *notice.Registry    // what upstreams said about further requests, also of those that are not listed
 	searches     int                 // how often the upstreams of a service were searched for the best one
 }
 
 // New returns a state without upstreams.
 func New(cfg Settings) *State {
-	return &State{cfg: cfg, services: make(map[string]*service), byID: make(map[string]*upstream)}
+	return &State{cfg: cfg, services: make(map[string]*service), byID: make(map[string]*upstream), notices: notice.New()}
 }
 
 // SetHosts sets the number of hosts that share the part of the retry budget for decisions without the owner.
@@ -56,6 +58,7 @@
 		u := s.byID[id]
 		if u == nil || u.Started != entry.Started {
 			u = newUpstream(now, entry)
+			u.notices = s.notices.Get(entry.Lifetime())
 			s.byID[id] = u
 		}
 		u.Upstream = entry
@@ -111,8 +114,17 @@
 	}
 }
 
-// Expire drops attempts whose end was not reported in time, so that they stop occupying slots.
+// CancelProbe records that a probe was not sent after all.
+func (s *State) CancelProbe(id string) {
+	if u := s.byID[id]; u != nil {
+		u.probePendingSince = -1
+	}
+}
+
+// Expire drops attempts whose end was not reported in time, so that they stop occupying slots, and notices that no longer
+// matter.
 func (s *State) Expire(now time.Duration) {
+	s.notices.Expire(now, s.listed)
 	for _, u := range s.byID {
 		for id, a := range u.attempts {
 			if now >= a.expiresAt {
--- a/lib/grant/upstream.go
+++ b/lib/grant/upstream.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sardinecross.example/lib/fleet"
+	"sardinecross.example/lib/notice"
 )
 
 // attempt is a granted attempt whose end was not reported yet.
@@ -27,6 +28,9 @@
 	probePendingSince time.Duration // when the oldest unanswered probe was sent; negative if none is unanswered
 	unhealthy         bool          // whether the last health response was not 200
 
+	// notices is what the upstream said in its lifetime about further requests; nil if nothing.
+	notices *notice.Record
+
 	coldUntil  time.Duration
 	coldTokens float64       // requests that the cold rate allows at refilledAt
 	refilledAt time.Duration // when coldTokens was last refilled
@@ -89,6 +93,7 @@
 	if f <= 0 {
 		f = normalSlowdownPercent
 	}
+	f = min(max(f, minSlowdownPercent), maxSlowdownPercent)
 	keep := math.Exp(-float64(now-u.reportedAt) / float64(slowdownDecay))
 	u.slowdown, u.slowdownAt = defaultSlowdownPercent+(f-defaultSlowdownPercent)*keep, now
 	return u.slowdown
--- a/sardinegate/broker/broker.go
+++ b/sardinegate/broker/broker.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"sardinecross.example/lib/common/pause"
 	"sardinecross.example/lib/fleet"
 	"sardinecross.example/lib/grant"
 	"sardinecross.example/sardinegate/mesh"
@@ -98,6 +99,11 @@
 		probes:       make(map[string]*probeState),
 	}
 	b.wg.Go(func() { b.probeLoop(ctx) })
+	b.wg.Go(func() {
+		for pause.For(ctx, tellInterval) {
+			b.tellLeaving()
+		}
+	})
 	b.wg.Go(func() {
 		t := time.NewTicker(expireInterval)
 		defer t.Stop()
@@ -230,23 +236,27 @@
 	b.mu.Unlock()
 }
 
-// EndAttempt reports the end of an attempt to the host that granted it.
+// EndAttempt reports the end of an attempt to the host that granted it, with what the upstream has said about further requests
+// from this host.
 func (b *Broker) EndAttempt(d Decision, end grant.AttemptEnd) {
 	end.ID, end.Upstream = d.ID, d.Upstream
+	now := b.now()
 	b.mu.Lock()
 	delete(b.hedges, end.ID.Seq)
-	b.state.EndAttempt(b.now(), end)
+	b.state.EndAttempt(now, end)
+	notices := b.noticesOf(now, d.Upstream)
 	b.mu.Unlock()
 	if d.DecidedBy != b.deps.Host {
-		b.deps.Node.Send(d.DecidedBy, &mesh.Message{AttemptEnd: &end})
+		b.deps.Node.Send(d.DecidedBy, &mesh.Message{AttemptEnd: &end, Notices: notices})
 		return
 	}
 	b.decideQueued()
 }
 
-// Handle handles messages of other hosts that concern attempts, and the cold upstreams in their heartbeats.
+// Handle handles messages of other hosts that concern attempts, and what they say about upstreams.
 func (b *Broker) Handle(m *mesh.Message) {
 	now := b.now()
+	b.handleNotices(now, m)
 	switch {
 	case m.AttemptRequest != nil:
 		b.mu.Lock()
--- a/sardinegate/broker/probe.go
+++ b/sardinegate/broker/probe.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -96,6 +97,9 @@
 			continue
 		}
 		owns = true
+		if !b.state.Notice(now, b.deps.Host, u.Lifetime()).IsZero() {
+			continue // the upstream wants no requests, and a probe is one
+		}
 		p := b.probes[id]
 		if p == nil {
 			p = &probeState{}
@@ -148,12 +152,24 @@
 		Method:     http.MethodGet,
 		RequestURI: path,
 		Host:       u.Address,
-		Matches:    func(*http.Response) bool { return true },
+		// A response with a request ID is a late copy of one to an earlier request on the connection.
+		Matches: func(resp *http.Response) bool {
+			return b.deps.Codec.ParseResponse(resp.StatusCode, resp.Header).RequestID == ""
+		},
+		MaySend: func() bool { return b.MaySend(u) },
+		OnHeader: func(status int, h http.Header) {
+			b.RecordNotice(u, b.deps.Codec.ParseResponse(status, h))
+		},
 	})
 	now := b.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p.running = false
+	var withheld *pool.WithheldError
+	if errors.As(err, &withheld) {
+		b.state.CancelProbe(u.ID)
+		return
+	}
 	if err != nil {
 		if probing.Err() != nil {
 			err = fmt.Errorf("no response within %v: %w", probeTimeout, probing.Err())
--- a/sardinegate/entry/entry.go
+++ b/sardinegate/entry/entry.go
@@ -41,6 +41,10 @@
 	Decide(ctx context.Context, req grant.AttemptRequest, hedges chan<- broker.Decision) broker.Decision
 	// EndAttempt reports the end of a granted attempt. It must be called once for each.
 	EndAttempt(d broker.Decision, end grant.AttemptEnd)
+	// MaySend reports whether an upstream accepts requests from this host, as far as it has said so in responses.
+	MaySend(u fleet.Upstream) bool
+	// RecordNotice records what a response of an upstream says about further requests.
+	RecordNotice(u fleet.Upstream, info fleet.ResponseInfo)
 }
 
 // Sender sends a request to an upstream once and returns the response; see pool.Pool.
@@ -89,6 +93,8 @@
 	body           []byte
 	bodyRest       io.Reader
 	attempts       []*attempt
+	// unusable holds the IDs of upstreams that were granted but not usable any more.
+	unusable []string
 	// hedges receives the hedges that the owner offers; nil if the request may not be hedged.
 	hedges chan broker.Decision
 }
@@ -121,7 +127,7 @@
 		left = defaultTimeLeft
 	}
 	if c.view.Routes == nil || !c.view.Listed {
-		return refuse(http.StatusServiceUnavailable, "no configuration yet", notReadyRetryAfter)
+		return refuse(http.StatusServiceUnavailable, "not ready yet", notReadyRetryAfter)
 	}
 	rt, ok := c.view.Routes.Match(c.r.Host, c.r.URL.EscapedPath())
 	if !ok {
--- a/sardinegate/entry/run.go
+++ b/sardinegate/entry/run.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
+	"sardinecross.example/lib/fleet"
 	"sardinecross.example/lib/grant"
 	"sardinecross.example/lib/route"
 	"sardinecross.example/sardinegate/broker"
@@ -24,6 +26,9 @@
 	// lastHedgeShare is the share of the target, from the arrival of the request, after which the timer for hedges is not
 	// started again.
 	lastHedgeShare = 0.95
+	// maxUnusableGrants bounds how often a request asks for another upstream in place of one that was granted and may not be
+	// used.
+	maxUnusableGrants = 3
 	// maxAnswerTime is how long a response may take from its first byte until an attempt that is abandoned before its end
 	// counts against the upstream.
 	maxAnswerTime = time.Second
@@ -126,7 +131,7 @@
 		case d := <-c.hedges:
 			if running != 1 || !c.mayHedge() {
 				h.deps.Selector.EndAttempt(d, grant.AttemptEnd{Outcome: grant.Unused})
-			} else if h.sendAttempt(ctx, c, ended, d, true) == nil {
+			} else if h.sendAttempt(ctx, c, ended, d, true) {
 				running++
 			}
 		case <-hedgeTimer.C:
@@ -174,8 +179,31 @@
 	return a.result == unsent || a.result == notRun || c.route.Kind.MayRepeat()
 }
 
-// startAttempt asks for an upstream and starts an attempt there. It returns an outcome if it is refused.
+// startAttempt asks for an upstream and starts an attempt there. If the granted upstream is not usable any more, it asks for
+// another one. It returns an outcome if it is refused.
 func (h *Handler) startAttempt(ctx context.Context, c *call, ended chan<- *attempt, countsAsRetry, hedge bool) *outcome {
+	var d broker.Decision
+	for range maxUnusableGrants {
+		d = h.deps.Selector.Decide(ctx, h.attemptRequest(c, countsAsRetry, hedge), c.hedges)
+		if d.Upstream == "" {
+			o := refuse(http.StatusServiceUnavailable, d.Reason.String(), d.RetryAfter)
+			o.decidedBy, o.upstreamCounts = d.DecidedBy, d.UpstreamCounts
+			return o
+		}
+		if h.sendAttempt(ctx, c, ended, d, hedge) {
+			return nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	o := refuse(http.StatusServiceUnavailable, "granted upstreams are not usable", minRetryAfter)
+	o.decidedBy = d.DecidedBy
+	return o
+}
+
+// attemptRequest returns the request for an upstream for the next attempt.
+func (h *Handler) attemptRequest(c *call, countsAsRetry, hedge bool) grant.AttemptRequest {
 	req := grant.AttemptRequest{
 		Service:       c.service,
 		DataCentre:    h.deps.DataCentre,
@@ -185,6 +213,7 @@
 		Target:        c.route.Target,
 		TimeLeft:      time.Until(c.deadline),
 		Elapsed:       time.Since(c.arrived),
+		Tried:         slices.Clone(c.unusable),
 		AttemptsLeft:  c.route.MaxAttempts - len(c.attempts) - 1,
 		CountsAsRetry: countsAsRetry,
 		Hedge:         hedge,
@@ -193,23 +222,18 @@
 		req.Tried = append(req.Tried, a.decision.Upstream)
 		req.HedgedSeq = a.decision.ID.Seq
 	}
-	d := h.deps.Selector.Decide(ctx, req, c.hedges)
-	if d.Upstream == "" {
-		o := refuse(http.StatusServiceUnavailable, d.Reason.String(), d.RetryAfter)
-		o.decidedBy, o.upstreamCounts = d.DecidedBy, d.UpstreamCounts
-		return o
-	}
-	return h.sendAttempt(ctx, c, ended, d, hedge)
+	return req
 }
 
-// sendAttempt starts the attempt that d grants. If the upstream is no longer usable, it ends the attempt as unused and
-// returns an outcome.
-func (h *Handler) sendAttempt(ctx context.Context, c *call, ended chan<- *attempt, d broker.Decision, hedge bool) *outcome {
+// sendAttempt starts the attempt that d grants and returns true. If the upstream is no longer usable or accepts no requests
+// from this host, it ends the attempt as unused and returns false.
+func (h *Handler) sendAttempt(ctx context.Context, c *call, ended chan<- *attempt, d broker.Decision, hedge bool) bool {
 	view := h.deps.View()
 	u, ok := view.Upstreams[d.Upstream]
-	if !ok || !view.Usable(u, c.service) || ctx.Err() != nil {
+	if !ok || !view.Usable(u, c.service) || !h.deps.Selector.MaySend(u) || ctx.Err() != nil {
 		h.deps.Selector.EndAttempt(d, grant.AttemptEnd{Outcome: grant.Unused})
-		return refuse(http.StatusServiceUnavailable, "granted upstream is not usable", d.RetryAfter)
+		c.unusable = append(c.unusable, d.Upstream)
+		return false
 	}
 	actx, cancel := context.WithCancel(ctx)
 	a := &attempt{decision: d, hedge: hedge, start: time.Now(), cancel: cancel}
@@ -229,13 +253,27 @@
 		Matches: func(resp *http.Response) bool {
 			return h.deps.Codec.ParseResponse(resp.StatusCode, resp.Header).RequestID == c.id
 		},
+		MaySend: func() bool { return h.deps.Selector.MaySend(u) },
+		OnHeader: func(status int, header http.Header) {
+			h.recordNotice(u, status, header)
+		},
 	}
 	go func() {
 		resp, err := h.deps.Sender.Do(actx, req)
 		h.endAttempt(actx, c, a, resp, err)
 		ended <- a
 	}()
-	return nil
+	return true
+}
+
+// recordNotice records what a response that was sent from the address of u says about further requests. A response with the
+// status for a misdirected request comes from another upstream, so that it counts only if that one names itself.
+func (h *Handler) recordNotice(u fleet.Upstream, status int, header http.Header) {
+	info := h.deps.Codec.ParseResponse(status, header)
+	if status == http.StatusMisdirectedRequest && info.Upstream != u.ID {
+		return
+	}
+	h.deps.Selector.RecordNotice(u, info)
 }
 
 // endAttempt classifies the result of an attempt and reports it to the host that granted it, for a response that is still
@@ -267,9 +305,10 @@
 func classifyError(ctx context.Context, err error) (result, grant.Outcome) {
 	var unreached *pool.ConnectError
 	var busy *pool.ConnLimitError
+	var withheld *pool.WithheldError
 	var exchange *pool.ExchangeError
 	switch {
-	case errors.As(err, &busy):
+	case errors.As(err, &busy), errors.As(err, &withheld):
 		return unsent, grant.Unused
 	case errors.As(err, &unreached):
 		if ctx.Err() != nil {
--- a/sardinegate/gate.go
+++ b/sardinegate/gate.go
@@ -54,6 +54,9 @@
 	// drainTime is the length of the last part of the grace period, in which no new connections are accepted and requests
 	// in flight may end. It includes exitMargin.
 	drainTime = 2 * time.Second
+	// joinTimeout is how long a host with a complete view waits for other hosts before it serves callers. It may be the only
+	// one.
+	joinTimeout = 300 * time.Millisecond
 	// exitMargin is the length of the last part of drainTime, in which the process stops its goroutines and exits.
 	exitMargin = 600 * time.Millisecond
 	// readHeaderTimeout and idleTimeout apply to connections from the platform and from other hosts, not from callers.
@@ -77,6 +80,9 @@
 	httpServers     []*http.Server
 	wg              sync.WaitGroup
 	settingsModTime time.Time // modification time of the settings file when it was last read
+	start           time.Time
+	// completeAt is the time.Duration from start until the view was first complete; 0 before that.
+	completeAt atomic.Int64
 
 	// mu guards settings.Grace and settings.MaxAddressLifetime, the only settings that a reload changes.
 	mu sync.Mutex
@@ -94,7 +100,7 @@
 	if quiet {
 		level = slog.LevelWarn
 	}
-	g := &gate{settings: s, settingsPath: path, logWriter: logger.NewWriter(out), store: platform.NewStore(s.StoreAddress), pool: pool.New()}
+	g := &gate{settings: s, settingsPath: path, logWriter: logger.NewWriter(out), store: platform.NewStore(s.StoreAddress), pool: pool.New(), start: time.Now()}
 	g.log = logger.NewLogger(g.logWriter, level)
 	if info, err := os.Stat(path); err == nil {
 		g.settingsModTime = info.ModTime()
@@ -121,6 +127,7 @@
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 		Hosts: 1, CrossDataCentreCost: crossDataCentreCost, BulkCrossDataCentreCost: bulkCrossDataCentreCost,
 	})
+	g.node.OnAlive(g.broker.HostAlive)
 	g.node.Start(g.heartbeat, func(m *mesh.Message) {
 		g.watcher.Handle(m)
 		g.broker.Handle(m)
@@ -157,6 +164,9 @@
 	if v.Routes == nil {
 		return
 	}
+	if v.Listed {
+		g.completeAt.CompareAndSwap(0, int64(time.Since(g.start)))
+	}
 	minLimit := 0
 	for _, s := range v.Routes.Services {
 		if s.MaxConnections > 0 && (minLimit == 0 || s.MaxConnections < minLimit) {
@@ -203,6 +213,7 @@
 		stats.Gauge{Name: "messages_sent_total", Read: count(&g.node.Sent)},
 		stats.Gauge{Name: "messages_received_total", Read: count(&g.node.Received)},
 		stats.Gauge{Name: "messages_invalid_total", Read: count(&g.node.Invalid)},
+		stats.Gauge{Name: "messages_newer_total", Read: count(&g.node.Newer)},
 		stats.Gauge{Name: "log_lines_left_out_total", Read: count(&g.logWriter.Dropped)},
 	)
 }
@@ -212,7 +223,7 @@
 	s := g.settings
 	g.callerServer = &front.Server{Log: g.log, Handler: entry.New(entry.Deps{
 		DataCentre: s.DataCentre, Selector: g.broker, Sender: g.pool, Codec: platform.HeaderCodec{},
-		View: g.watcher.View, Recorder: collector, Log: g.log,
+		View: g.servingView, Recorder: collector, Log: g.log,
 	})}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", collector)
@@ -250,11 +261,23 @@
 	g.wg.Go(func() { _ = serve(ln) }) // the error is always ErrServerClosed
 }
 
-// Ready implements platform.AddressSource. The host is ready once it knows a configuration and the list of upstreams,
-// until it shuts down.
-func (g *gate) Ready() bool {
-	v := g.watcher.View()
-	return v.Routes != nil && v.Listed && !g.leaving.Load()
+// Ready implements platform.AddressSource. The host is ready once it may serve callers, until it shuts down.
+func (g *gate) Ready() bool { return g.mayServe() && !g.leaving.Load() }
+
+// mayServe reports whether the host knows a configuration and the list of upstreams, and what other hosts know beyond them. A
+// host that serves before it has heard from the others takes itself for the owner of every service, and uses upstreams of
+// which the others know that they are leaving.
+func (g *gate) mayServe() bool {
+	completeAt := time.Duration(g.completeAt.Load())
+	return completeAt > 0 && (g.node.Joined() || time.Since(g.start) > completeAt+joinTimeout)
+}
+
+// servingView returns the view for requests of callers, which is empty while the host may not serve them.
+func (g *gate) servingView() *fleet.View {
+	if !g.mayServe() {
+		return &fleet.View{}
+	}
+	return g.watcher.View()
 }
 
 // NearestHosts implements platform.AddressSource. It returns the ready hosts in the caller's data centre, or those of
--- a/sardinegate/mesh/mesh.go
+++ b/sardinegate/mesh/mesh.go
@@ -20,6 +20,11 @@
 	aliveTimeout = 1300 * time.Millisecond
 	// forgetAfter is how long heartbeats are still sent to a silent host. A network partition may end meanwhile.
 	forgetAfter = 60 * time.Second
+	// joinTime is how long a new host waits after the first message of another host until the others have answered its first
+	// heartbeat as well, and have told it what it cannot read in the store.
+	joinTime = 40 * time.Millisecond
+	// invalidLogInterval is the shortest time between two log lines on invalid messages.
+	invalidLogInterval = time.Second
 )
 
 // Self identifies this host and its addresses.
@@ -60,10 +65,14 @@
 
 	handler atomic.Pointer[Handler]
 	status  atomic.Pointer[func() Heartbeat]
+	onAlive atomic.Pointer[func(host string)]
 
-	// Sent and Received count datagrams. Invalid counts messages that could not be encoded or decoded, or that name no
-	// other host as the sender.
-	Sent, Received, Invalid atomic.Int64
+	// firstMessageAt is when the first message of another host was received; 0 before that.
+	firstMessageAt atomic.Int64
+
+	// Sent and Received count datagrams. Invalid counts messages that could not be encoded or decoded, have invalid values, or
+	// name no other host as the sender. Newer counts those with fields that this program does not know.
+	Sent, Received, Invalid, Newer atomic.Int64
 
 	// heartbeatMu is held from reading the status until the heartbeat is sent, so that a later heartbeat never carries an
 	// earlier status.
@@ -113,6 +122,15 @@
 	})
 }
 
+// OnAlive sets a function that is called with each host that becomes alive. It must not block.
+func (n *Node) OnAlive(f func(host string)) { n.onAlive.Store(&f) }
+
+// Joined reports whether other hosts have had time to answer since the first of them was heard.
+func (n *Node) Joined() bool {
+	first := time.Duration(n.firstMessageAt.Load())
+	return first > 0 && n.now()-first >= joinTime
+}
+
 // Close stops the node and waits until its goroutines have ended.
 func (n *Node) Close() {
 	close(n.stop)
@@ -235,6 +253,7 @@
 // receive reads datagrams and passes valid messages to the handler until the socket is closed.
 func (n *Node) receive() {
 	buf := make([]byte, maxDatagram)
+	logInvalidAt := time.Duration(0)
 	for {
 		size, from, err := n.conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
@@ -244,13 +263,23 @@
 			continue // an earlier datagram could not be delivered, for example because its port was closed
 		}
 		n.Received.Add(1)
-		var m Message
-		if err := decoder.Unmarshal(buf[:size], &m); err != nil || m.From == "" || m.From == n.self.Host {
+		m, newer, err := Decode(buf[:size])
+		if err == nil && m.From == n.self.Host {
+			err = &InvalidMessageError{"sender", "is this host"}
+		}
+		if err != nil {
 			n.Invalid.Add(1)
+			if now := n.now(); now >= logInvalidAt {
+				n.log.Warn("message dropped", "from", from.String(), "bytes", size, "error", err)
+				logInvalidAt = now + invalidLogInterval
+			}
 			continue
 		}
-		if n.updateMember(&m, netip.AddrPortFrom(from.Addr().Unmap(), from.Port())) {
-			(*n.handler.Load())(&m)
+		if newer {
+			n.Newer.Add(1)
+		}
+		if n.updateMember(m, netip.AddrPortFrom(from.Addr().Unmap(), from.Port())) {
+			(*n.handler.Load())(m)
 		}
 	}
 }
@@ -277,6 +306,7 @@
 	}
 	changed := false
 	member.boot, member.addr, member.lastReceived, member.lossLogged = m.Boot, from, n.now(), false
+	n.firstMessageAt.CompareAndSwap(0, int64(n.now()))
 	if hb := m.Heartbeat; hb != nil {
 		changed = !newlyAlive && (member.Leaving != hb.Leaving || member.Ready != hb.Ready)
 		member.DataCentre, member.CallerAddress = hb.DataCentre, hb.CallerAddress
@@ -294,6 +324,9 @@
 		defer n.heartbeatMu.Unlock()
 		hb := n.heartbeat()
 		n.send(&Message{Heartbeat: &hb}, from)
+		if f := n.onAlive.Load(); f != nil {
+			(*f)(m.From)
+		}
 	}
 	return true
 }
--- a/sardinegate/mesh/message.go
+++ b/sardinegate/mesh/message.go
@@ -1,8 +1,11 @@
 package mesh
 
 import (
+	"errors"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"sardinecross.example/lib/common/codec"
 	"sardinecross.example/lib/fleet"
 	"sardinecross.example/lib/grant"
@@ -11,11 +14,34 @@
 // maxDatagram is the size of the largest encoded message, in bytes.
 const maxDatagram = 32 << 10
 
+// bounds limits the arrays of a message.
+var bounds = codec.Bounds{Elements: 4096, Depth: 8}
+
 var (
-	encoder = codec.Encoder()
-	decoder = codec.Decoder(codec.Bounds{Elements: 4096, Depth: 8})
+	encoder         = codec.Encoder()
+	decoder         = codec.Decoder(bounds)
+	tolerantDecoder = codec.TolerantDecoder(bounds)
 )
 
+// Decode decodes and checks a message. newer is set if it has fields that this program does not know; they are ignored. The
+// error is one of the decoder, or an InvalidMessageError.
+func Decode(data []byte) (m *Message, newer bool, err error) {
+	m = &Message{}
+	err = decoder.Unmarshal(data, m)
+	var unknown *cbor.UnknownFieldError
+	if newer = errors.As(err, &unknown); newer {
+		m = &Message{}
+		err = tolerantDecoder.Unmarshal(data, m)
+	}
+	if err == nil {
+		err = m.check()
+	}
+	if err != nil {
+		return nil, newer, err
+	}
+	return m, newer, nil
+}
+
 // Message is the content of one datagram between hosts. A datagram may be lost, duplicated or delayed.
 type Message struct {
 	// From is the name of the sending host.
@@ -28,6 +54,16 @@
 	AttemptEnd      *grant.AttemptEnd     `cbor:"6,keyasint,omitempty"`
 	ListChanges     *ListChanges          `cbor:"7,keyasint,omitempty"`
 	OperatorRecords *OperatorRecords      `cbor:"8,keyasint,omitempty"`
+	// Notices holds what upstreams said about further requests. Beside an AttemptEnd, the upstream said it to the sender;
+	// else the sender repeats what it was told, and only Leaving counts.
+	Notices []UpstreamNotice `cbor:"9,keyasint,omitempty"`
+}
+
+// UpstreamNotice is what an upstream said in its present lifetime about further requests.
+type UpstreamNotice struct {
+	_        struct{} `cbor:",toarray"`
+	Lifetime fleet.Lifetime
+	Notice   fleet.Notice
 }
 
 // Heartbeat is the status that each host sends to the others at a fixed interval.
--- a/sardinegate/pool/errors.go
+++ b/sardinegate/pool/errors.go
@@ -24,6 +24,12 @@
 // Error implements error.
 func (e *ConnLimitError) Error() string { return "connection limit reached at " + e.Address }
 
+// WithheldError reports a request that was not sent because Request.MaySend returned false.
+type WithheldError struct{ Address string }
+
+// Error implements error.
+func (e *WithheldError) Error() string { return "request withheld from " + e.Address }
+
 // ExchangeError reports an exchange that did not yield a complete response. The upstream may have executed the request.
 type ExchangeError struct {
 	Address string
--- a/sardinegate/pool/pool.go
+++ b/sardinegate/pool/pool.go
@@ -52,6 +52,11 @@
 	ContentLength int64
 	// Matches reports whether a response belongs to this request. Do skips other responses.
 	Matches func(*http.Response) bool
+	// MaySend, if not nil, is asked when a connection is open, right before the request is written to it. If it returns
+	// false, Do fails with a WithheldError.
+	MaySend func() bool
+	// OnHeader, if not nil, is called with the status and the header of the matching response before its body is read.
+	OnHeader func(status int, h http.Header)
 }
 
 // Response is the response of an upstream. Body holds the whole body, or its beginning if BodyRest is set.
@@ -217,6 +222,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		c.close()
+		return nil, &WithheldError{r.Address}
+	}
 	stop := context.AfterFunc(ctx, c.close)
 	resp, err := p.roundTrip(ctx, c, r, stop)
 	if err != nil {
@@ -249,6 +258,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.OnHeader != nil {
+		r.OnHeader(resp.StatusCode, resp.Header)
+	}
 	out := &Response{Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength}
 	buffered, taken, whole, err := p.readBody(resp)
 	if err != nil || whole {
