front: Serve what has been accepted, or waits to be, in a planned stop

Operators of similar systems reported requests that were cut off right after they had been accepted, in a planned stop under load. It could happen here: Shutdown closed the listener, which resets the connections that wait in its queue, and closed every connection without a request at hand, also one whose first request was on its way or had arrived in part. Change: Shutdown accepts what waits, until no connection has come for 2 ms; it keeps a new connection for 500 ms to receive its first request, and one on which a request has begun to arrive until it is answered.

--- a/sardinegate/front/conn.go
+++ b/sardinegate/front/conn.go
@@ -34,8 +34,11 @@
 	cancel      context.CancelFunc
 	pipelined   chan struct{} // one element per request being served; the capacity limits pipelining
 	handlers    sync.WaitGroup
+	accepted    time.Time
 
 	mu sync.Mutex
+	// receiving is set while a request has begun to arrive and is not complete.
+	receiving bool
 	// newest is the exchange of the request read last, complete or not; nil before the first request.
 	newest *exchange
 	// incomplete counts the exchanges whose responses are not complete.
@@ -51,7 +54,7 @@
 	return &conn{
 		server: s, nc: nc, headerLimit: headerLimit,
 		br: bufio.NewReaderSize(headerLimit, readBufferSize), bw: bufio.NewWriterSize(nc, writeBufferSize),
-		ctx: ctx, cancel: cancel, pipelined: make(chan struct{}, maxPipelined),
+		ctx: ctx, cancel: cancel, pipelined: make(chan struct{}, maxPipelined), accepted: time.Now(),
 	}
 }
 
@@ -61,10 +64,11 @@
 	_ = c.nc.Close() // the connection is no longer used
 }
 
-// closeIdle closes the connection if every request has a complete response.
-func (c *conn) closeIdle() {
+// closeIdle closes the connection if every request has a complete response and none has begun to arrive. One without any
+// request yet is closed once firstRequestTime has passed.
+func (c *conn) closeIdle(now time.Time) {
 	c.mu.Lock()
-	idle := c.incomplete == 0
+	idle := c.incomplete == 0 && !c.receiving && (c.newest != nil || now.Sub(c.accepted) > firstRequestTime)
 	if idle {
 		c.closing = true
 	}
@@ -74,6 +78,14 @@
 	}
 }
 
+// beginReceiving records that a request has begun to arrive. It returns false if the connection is closing.
+func (c *conn) beginReceiving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receiving = !c.closing
+	return c.receiving
+}
+
 // serve reads and serves requests until the connection ends, and waits for their handlers.
 func (c *conn) serve() {
 	c.readRequests()
@@ -115,6 +127,9 @@
 			}
 			return
 		}
+		if !c.beginReceiving() {
+			return
+		}
 		select {
 		case c.pipelined <- struct{}{}:
 		case <-c.ctx.Done():
--- a/sardinegate/front/exchange.go
+++ b/sardinegate/front/exchange.go
@@ -33,6 +33,7 @@
 	x := &exchange{c: c, r: r, header: make(http.Header), done: make(chan struct{}), closeAfter: r.Close || !r.ProtoAtLeast(1, 1)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.receiving = false
 	if c.closing {
 		return nil
 	}
--- a/sardinegate/front/server.go
+++ b/sardinegate/front/server.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,13 @@
 	writeTimeout = 30 * time.Second
 	// pollInterval is the time between checks for open connections during a shutdown, and the pause after a failed accept.
 	pollInterval = 20 * time.Millisecond
+	// firstRequestTime is how long after it was accepted a connection stays open during a shutdown to receive its first
+	// request. Its caller has connected and may be sending.
+	firstRequestTime = 500 * time.Millisecond
+	// lastAcceptWait is how long no connection may have come before a shutdown closes a listener, which resets those that wait
+	// to be accepted. maxLastAccepts bounds the connections that it accepts before.
+	lastAcceptWait = 2 * time.Millisecond
+	maxLastAccepts = 1000
 )
 
 // Server serves HTTP/1.1 connections with one handler. Its exported fields must not change while it serves.
@@ -44,36 +52,77 @@
 	mu        sync.Mutex
 	listeners []net.Listener
 	conns     map[*conn]struct{}
-	closed    bool
+	// accepting counts the calls of Serve that accept connections.
+	accepting int
+	// stopping is set by Shutdown: connections that wait are accepted, and then no more. closed is set by Close: none is.
+	stopping, closed bool
 }
 
 // Serve accepts connections until the server is shut down or closed. It always returns http.ErrServerClosed.
 func (s *Server) Serve(ln net.Listener) error {
-	s.mu.Lock()
-	s.listeners = append(s.listeners, ln)
-	if s.conns == nil {
-		s.conns = make(map[*conn]struct{})
-	}
-	closed := s.closed
-	s.mu.Unlock()
-	if closed {
+	if !s.addListener(ln) {
 		_ = ln.Close() // nothing was accepted
 		return http.ErrServerClosed
 	}
+	defer s.removeListener(ln)
 	for {
 		nc, err := ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case err == nil:
+			s.startConn(nc)
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			s.acceptLast(ln)
 			return http.ErrServerClosed
-		}
-		if err != nil {
+		case errors.Is(err, net.ErrClosed):
+			return http.ErrServerClosed
+		default:
 			s.Log.Warn("connection not accepted", "error", err)
 			time.Sleep(pollInterval) // the process may be out of file descriptors for a moment
-			continue
+		}
+	}
+}
+
+// acceptLast accepts the connections that wait on a listener, until none has come for lastAcceptWait.
+func (s *Server) acceptLast(ln net.Listener) {
+	l := ln.(deadlineListener) // Accept has returned at a deadline
+	for range maxLastAccepts {
+		if l.SetDeadline(time.Now().Add(lastAcceptWait)) != nil {
+			return
+		}
+		nc, err := ln.Accept()
+		if err != nil {
+			return
 		}
 		s.startConn(nc)
 	}
 }
 
+// deadlineListener is a listener whose Accept can be made to return.
+type deadlineListener interface{ SetDeadline(t time.Time) error }
+
+// addListener registers a listener whose connections are accepted. It returns false if the server is shut down or closed.
+func (s *Server) addListener(ln net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping || s.closed {
+		return false
+	}
+	if s.conns == nil {
+		s.conns = make(map[*conn]struct{})
+	}
+	s.listeners = append(s.listeners, ln)
+	s.accepting++
+	return true
+}
+
+// removeListener closes a listener after the last connection was accepted.
+func (s *Server) removeListener(ln net.Listener) {
+	_ = ln.Close() // the listener may be closed already
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accepting--
+}
+
 func (s *Server) startConn(nc net.Conn) {
 	c := newConn(s, nc)
 	s.mu.Lock()
@@ -98,22 +147,23 @@
 // start after the call.
 func (s *Server) DisableKeepAlives() { s.keepAlivesDisabled.Store(true) }
 
-// Shutdown stops accepting connections, closes idle ones and waits until the others have closed or ctx ends.
+// Shutdown accepts the connections that wait for it, and then no more. It serves requests that have begun to arrive and the
+// first request of a connection that was just accepted, closes idle connections, and waits until all have closed or ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.DisableKeepAlives()
 	s.mu.Lock()
-	s.closed = true
+	s.stopping = true
 	for _, ln := range s.listeners {
-		_ = ln.Close() // the listener may be closed already
+		endAccepting(ln)
 	}
 	s.mu.Unlock()
 	t := time.NewTicker(pollInterval)
 	defer t.Stop()
 	for {
 		s.mu.Lock()
-		left := len(s.conns)
+		left := s.accepting + len(s.conns)
 		for c := range s.conns {
-			c.closeIdle()
+			c.closeIdle(time.Now())
 		}
 		s.mu.Unlock()
 		if left == 0 {
@@ -127,6 +177,14 @@
 	}
 }
 
+// endAccepting makes Serve accept the connections that wait and return. A listener without deadlines is closed.
+func endAccepting(ln net.Listener) {
+	l, ok := ln.(deadlineListener)
+	if !ok || l.SetDeadline(time.Now()) != nil {
+		_ = ln.Close() // the listener may be closed already
+	}
+}
+
 // Close closes the listeners and all connections, and waits for the handlers to return.
 func (s *Server) Close() {
 	s.mu.Lock()
