watch: Count the age of a copy from its request

A copy of another host's knowledge counted as fresh as of its arrival, so that one that was up to a second on the way, or whose sender was frozen meanwhile, put off the next read of the store; a starting host could use upstreams that had left for as long.

--- a/sardinegate/watch/peers.go
+++ b/sardinegate/watch/peers.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"sardinecross.example/lib/common/codec"
 	"sardinecross.example/lib/fleet"
-	"sardinecross.example/sardinegate/mesh"
 )
 
 const (
@@ -60,8 +60,9 @@
 	_, _ = rw.Write(data) // fails only if the other host has closed the connection
 }
 
-// copyFromHost fetches the snapshot of another host and takes over those parts that are newer than this host's.
-func (w *Watcher) copyFromHost(ctx context.Context, m mesh.Member) error {
+// copyFromHost fetches the snapshot of another host and takes over those parts that are newer than this host's. Their age counts
+// from the request, as it is not known when the other host wrote its response.
+func (w *Watcher) copyFromHost(ctx context.Context, host string, addr netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	ctx, done, err := w.hostClient.Begin(ctx)
@@ -69,11 +70,11 @@
 		return err
 	}
 	defer done()
-	addr := m.Address()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+snapshotPath, nil)
 	if err != nil {
 		return err
 	}
+	requestedAt := w.now()
 	data, err := w.hostClient.Do(req, maxSnapshotBytes)
 	if err != nil {
 		return err
@@ -85,15 +86,16 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if snapshot.OperatorsPosition > w.operatorsPosition {
-		if err := w.replaceOperatorRecords(w.now()-snapshot.OperatorsAge, snapshot.OperatorsPosition, snapshot.OperatorRecords); err != nil {
+		if err := w.replaceOperatorRecords(requestedAt-snapshot.OperatorsAge, snapshot.OperatorsPosition, snapshot.OperatorRecords); err != nil {
 			return err
 		}
-		w.deps.Log.Info("operators' records taken from a host", "host", m.Host, "position", snapshot.OperatorsPosition)
+		w.deps.Log.Info("operators' records taken from a host", "host", host, "position", snapshot.OperatorsPosition)
 	}
 	if snapshot.Listed && (!w.view.Load().Listed || snapshot.List.Offset > w.list.Offset) {
+		snapshot.List.Age += w.now() - requestedAt
 		w.list.Restore(w.now(), snapshot.List, w.inOutageWindow())
 		w.publishList()
-		w.deps.Log.Info("upstreams taken from a host", "host", m.Host, "position", w.list.Offset)
+		w.deps.Log.Info("upstreams taken from a host", "host", host, "position", w.list.Offset)
 	}
 	return nil
 }
@@ -105,7 +107,7 @@
 		if m.OperatorsPosition <= operators && m.ListPosition <= list {
 			continue
 		}
-		if err := w.copyFromHost(ctx, m); err != nil {
+		if err := w.copyFromHost(ctx, m.Host, m.Address()); err != nil {
 			w.deps.Log.Warn("knowledge not copied", "host", m.Host, "error", err)
 		}
 	}
