proxy: Reject a late answer as a load report

A probe took any answer on its connection, so a late one to an earlier probe could show a leaving upstream as ready. An answer with another nonce is rejected now and its connection closed. Upstreams need not echo the nonce of a probe.

--- a/sardined/proxy/client.go
+++ b/sardined/proxy/client.go
@@ -200,11 +200,13 @@
 	a := &Attempt{client: c, req: req, started: c.cfg.Now()}
 	a.wallDeadline = wall.Add(req.Deadline - a.started)
 	a.guard.startBy, a.guard.now = req.StartBy, c.cfg.Now
-	a.nonce = strconv.FormatUint(rand.Uint64(), 36)
+	a.nonce = newNonce()
 	a.ctx, a.cancel = context.WithTimeout(context.Background(), req.Deadline-a.started)
 	return a
 }
 
+func newNonce() string { return strconv.FormatUint(rand.Uint64(), 36) }
+
 // Cancel ends the attempt early if the request is idempotent or nothing was sent. Otherwise the attempt continues, since
 // cancelling could interrupt a request that must not run twice.
 func (a *Attempt) Cancel() {
--- a/sardined/proxy/probe.go
+++ b/sardined/proxy/probe.go
@@ -33,6 +33,7 @@
 		ctx:          ctx,
 		started:      c.cfg.Now(),
 		wallDeadline: time.Now().Add(probeTimeout),
+		nonce:        newNonce(),
 	}
 	a.req.Deadline = a.started + probeTimeout
 	a.guard.startBy, a.guard.now = math.MaxInt64, c.cfg.Now
@@ -41,6 +42,14 @@
 		return core.LoadReport{}, &LoadReportError{Err: err}
 	}
 	defer resp.Body.Close() //nolint:errcheck // the body was read or is given up
+	// An answer with another nonce is a late one to an earlier request on the connection. Upstreams need not echo the nonce of
+	// a probe.
+	if got := resp.Header.Get("X-Request-Nonce"); got != "" && got != a.nonce {
+		if conn := a.guard.conn.Load(); conn != nil {
+			conn.discard()
+		}
+		return core.LoadReport{}, &LoadReportError{Err: &MismatchError{Address: address}}
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxLoadReportBytes))
 	if err != nil {
 		return core.LoadReport{}, &LoadReportError{Err: err}
