--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,12 @@
 # Tests that KNOWN-RED.txt lists as "test: NAME" are left out.
 KNOWN_RED := $(shell sed -n 's/^  test: \(Test[A-Za-z0-9_]*\)$$/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP_KNOWN_RED := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
+# Fuzz targets of messages from outside that make test runs for FUZZTIME each: module:package:target.
+FUZZ := platform:.:FuzzRecords sardined:./peer:FuzzDecodeMessage sardinegate:./mesh:FuzzMessage sardinegate:./broker:FuzzHandle
+FUZZTIME := 5s
 export CGO_ENABLED := 1
 
-.PHONY: all build demo test lint unit model proofs bench bench-quick slopes clean FORCE
+.PHONY: all build demo test lint unit fuzz model proofs bench bench-quick slopes clean FORCE
 .DELETE_ON_ERROR:
 
 all: build
@@ -28,6 +31,9 @@
 unit:
 	@for m in $(filter-out proofs,$(MODULES)); do (cd $$m && go test -race $(SKIP_KNOWN_RED) ./...) || exit 1; done
 
+fuzz:
+	@for f in $(FUZZ); do echo "fuzz $$f"; (IFS=:; set -- $$f; cd $$1 && go test -run '^$$' -fuzz "^$$3$$" -fuzztime $(FUZZTIME) $$2) || exit 1; done
+
 proofs: build
 	cd proofs && go test -race -count=1 -timeout 15m $(SKIP_KNOWN_RED)
 
@@ -46,7 +52,7 @@
 slopes: build
 	cd sardinebench && go run . slopes
 
-test: lint unit model proofs
+test: lint unit fuzz model proofs
 
 demo: build
 	demo/run
