peer: Test that a withdrawn CA is refused, also after a restart

Operators of similar systems reported a withdrawn key that was in use again after a restart. It can't happen here: the files are read at the start and each handshake verifies against them. A check that a link is refused no longer waits for ever.

--- a/sardined/peer/peer_test.go
+++ b/sardined/peer/peer_test.go
@@ -318,6 +318,35 @@
 	})
 }
 
+// Guards against an identity that works again, after the site has withdrawn its CA and hosts have restarted.
+func TestWithdrawnCAIsRefusedAlsoAfterARestart(t *testing.T) {
+	site, withdrawn := newTestCA(t), newTestCA(t)
+	site.issueIdentity(t, "b")
+	withdrawn.issueIdentity(t, "a")
+	own, err := os.ReadFile(site.path("ca.pem"))
+	assertNoError(t, err)
+	other, err := os.ReadFile(withdrawn.path("ca.pem"))
+	assertNoError(t, err)
+	site.writeFile(t, "ca.pem", append(other, own...))
+	hb := newHost(t, site, "b", 2, "127.0.0.1:0")
+	conn, err := dialRaw(t, hb, withdrawn.path("a.pem"), site.path("ca.pem"))
+	assertNoError(t, err)
+	select {
+	case <-conn.Context().Done():
+		t.Fatalf("refused before the CA is withdrawn: %v", context.Cause(conn.Context()))
+	case <-time.After(100 * time.Millisecond):
+	}
+	site.writeFile(t, "ca.pem", own)
+	for _, when := range []string{"before the restart", "after the restart"} {
+		t.Run(when, func(t *testing.T) {
+			if conn, err := dialRaw(t, hb, withdrawn.path("a.pem"), site.path("ca.pem")); err == nil {
+				assertRefused(t, conn)
+			}
+		})
+		hb = newHost(t, site, "b", 3, "127.0.0.1:0")
+	}
+}
+
 // dialRaw dials a host with the given identity and CA, without a Links of its own.
 func dialRaw(t *testing.T, to *host, identityFile, caFile string) (*quic.Conn, error) {
 	t.Helper()
@@ -341,10 +370,15 @@
 	return transport.Dial(ctx, net.UDPAddrFromAddrPort(to.Address()), id.clientConfig(to.cfg.Host), quicConfig())
 }
 
-// assertRefused waits until the connection ends and fails if it ended by the idle timeout.
+// assertRefused waits until the connection ends and fails if it does not within 10 s, or ended by the idle timeout.
 func assertRefused(t *testing.T, conn *quic.Conn) {
 	t.Helper()
-	<-conn.Context().Done()
+	select {
+	case <-conn.Context().Done():
+	case <-time.After(10 * time.Second):
+		t.Error("connection not refused within 10 s")
+		return
+	}
 	var idle *quic.IdleTimeoutError
 	if errors.As(context.Cause(conn.Context()), &idle) {
 		t.Error("connection not refused")
