mesh, grant: Tell other data centres by speakers who is alive

Cause: every host sends a heartbeat to every other one, 556,000 datagrams a second, which links and hosts do not carry; hosts lose each other without a fault and disagree on owners and readers. Ruled out: more capacity for the owners (their processors were not the limit: 0.2 cores at most). Change: from 48 live hosts on, two speakers of each data centre send tables of who is alive there to one speaker of each other one, which passes them on; messages to all hosts go the same way. Hosts of earlier versions get heartbeats as before. A host tells only of upstreams that it found cold itself: repeated by all, their time grew by the delay of each message.

--- a/lib/grant/notice_test.go
+++ b/lib/grant/notice_test.go
@@ -226,6 +226,35 @@
 	return s
 }
 
+// Guards against upstreams that count as cold for ever, because hosts tell each other what others told them, and the time grows by
+// the delay of each message.
+func TestColdStateIsNotRepeated(t *testing.T) {
+	const delay, heartbeat = 5 * time.Millisecond, 400 * time.Millisecond
+	hosts := []*State{newState(t, upstreamIn("a", passau)), newState(t, upstreamIn("a", passau)), newState(t, upstreamIn("a", passau))}
+	hosts[0].RecordReport(0, "a", fleet.Report{Slots: 4, ColdFor: time.Second}, true, false)
+	tell := func(now time.Duration, from *State) {
+		cold := from.ColdUpstreams(now)
+		for _, to := range hosts {
+			if left, ok := cold["a"]; ok && to != from {
+				to.RecordCold(now+delay, "a", left)
+			}
+		}
+	}
+	for now := time.Duration(0); now < time.Second; now += heartbeat {
+		for i, h := range hosts {
+			tell(now+time.Duration(i+1)*2*delay, h)
+		}
+	}
+	if !hosts[1].byID["a"].isCold(time.Second / 2) {
+		t.Error("the other hosts do not know that the upstream is cold")
+	}
+	for i, h := range hosts {
+		if until := h.byID["a"].coldUntil; until > time.Second+delay {
+			t.Errorf("host %d takes the upstream for cold until %v, want at most %v", i, until, time.Second+delay)
+		}
+	}
+}
+
 // Guards against one false load report that spoils the average response time of the whole service.
 func TestFalseSlowdownDoesNotSpoilTheAverage(t *testing.T) {
 	for _, percent := range []float64{1e-300, 1, 1e9} {
--- a/lib/grant/state.go
+++ b/lib/grant/state.go
@@ -93,9 +93,10 @@
 	u.report, u.reportedAt, u.slowdownAt = r, now, -1
 	if answersProbe {
 		u.probePendingSince, u.unhealthy = -1, unhealthy
+	}
+	if answersProbe || r.ColdFor > 0 {
 		u.setCold(now, r.ColdFor)
-	} else if r.ColdFor > 0 {
-		u.setCold(now, r.ColdFor)
+		u.coldReported = true
 	}
 }
 
@@ -176,14 +177,17 @@
 func (s *State) RecordCold(now time.Duration, id string, left time.Duration) {
 	if u := s.byID[id]; u != nil && now+left > u.coldUntil {
 		u.setCold(now, left)
+		u.coldReported = false
 	}
 }
 
-// ColdUpstreams returns the IDs of the cold upstreams with the time for which they stay cold.
+// ColdUpstreams returns the IDs of the upstreams that are cold by their own reports to this host, with the time for which they
+// stay cold. It leaves out those of which other hosts told: the time would grow by the delay of the message at each host that
+// repeats it.
 func (s *State) ColdUpstreams(now time.Duration) map[string]time.Duration {
 	var cold map[string]time.Duration
 	for id, u := range s.byID {
-		if u.isCold(now) {
+		if u.coldReported && u.isCold(now) {
 			if cold == nil {
 				cold = make(map[string]time.Duration)
 			}
--- a/lib/grant/upstream.go
+++ b/lib/grant/upstream.go
@@ -31,9 +31,11 @@
 	// notices is what the upstream said in its lifetime about further requests; nil if nothing.
 	notices *notice.Record
 
-	coldUntil  time.Duration
-	coldTokens float64       // requests that the cold rate allows at refilledAt
-	refilledAt time.Duration // when coldTokens was last refilled
+	coldUntil time.Duration
+	// coldReported is set if coldUntil comes from a report of the upstream to this host.
+	coldReported bool
+	coldTokens   float64       // requests that the cold rate allows at refilledAt
+	refilledAt   time.Duration // when coldTokens was last refilled
 
 	// slowdown is the result of slowdownPercent at slowdownAt, which is negative after a new report.
 	slowdown   float64
--- a/sardinegate/broker/broker.go
+++ b/sardinegate/broker/broker.go
@@ -273,11 +273,18 @@
 		b.mu.Unlock()
 		b.decideQueued()
 	case m.Heartbeat != nil:
-		b.mu.Lock()
-		for _, c := range m.Heartbeat.ColdUpstreams {
-			b.state.RecordCold(now, c.Upstream, c.Left)
-		}
-		b.mu.Unlock()
+		b.recordCold(now, m.Heartbeat.ColdUpstreams)
+	case m.Table != nil:
+		b.recordCold(now, m.Table.ColdUpstreams)
+	}
+}
+
+// recordCold records the upstreams that other hosts found cold.
+func (b *Broker) recordCold(now time.Duration, cold []mesh.ColdUpstream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range cold {
+		b.state.RecordCold(now, c.Upstream, c.Left)
 	}
 }
 
--- a/sardinegate/entry/entry.go
+++ b/sardinegate/entry/entry.go
@@ -186,24 +186,6 @@
 	return nil
 }
 
-// outcome is the final response to a caller.
-type outcome struct {
-	// resp is an upstream's response; nil for a response of this host.
-	resp *pool.Response
-	// status and reason are sent in a response of this host and logged; status is 0 if the caller has disconnected.
-	status     int
-	reason     string
-	retryAfter time.Duration
-	// decidedBy is the host that refused to grant an upstream, upstreamCounts why it found none.
-	decidedBy      string
-	upstreamCounts *grant.UpstreamCounts
-}
-
-// refuse returns an outcome for which this host writes the response. A retryAfter of 0 sends no Retry-After.
-func refuse(status int, reason string, retryAfter time.Duration) *outcome {
-	return &outcome{status: status, reason: reason, retryAfter: retryAfter}
-}
-
 // respond writes the response to the caller and records the outcome.
 func (h *Handler) respond(w http.ResponseWriter, c *call, o *outcome) {
 	switch {
@@ -264,23 +246,6 @@
 	h.deps.Log.Log(context.Background(), level, "request", attrs...)
 }
 
-// outcomeLabel returns the value of the metric label for a status.
-func outcomeLabel(status int) string {
-	switch {
-	case status == 0:
-		return "callerGone"
-	case status < 400:
-		return "served"
-	case status == http.StatusServiceUnavailable:
-		return "refused"
-	case status == http.StatusBadGateway || status == http.StatusGatewayTimeout:
-		return "unknown"
-	case status < 500:
-		return "rejected"
-	}
-	return "failed"
-}
-
 // writeUpstreamResponse writes an upstream's response, without its hop-by-hop headers, to the caller.
 func (h *Handler) writeUpstreamResponse(w http.ResponseWriter, resp *pool.Response) {
 	out := w.Header()
--- a/sardinegate/mesh/check.go
+++ b/sardinegate/mesh/check.go
@@ -83,15 +83,31 @@
 		c.name("upstream of a notice", n.Lifetime.Upstream)
 		c.duration("time to retry", n.Notice.RetryAfter)
 	}
+	if m.Table != nil {
+		c.table(m.Table)
+	}
 	return c.err
 }
 
+func (c *checker) table(t *Table) {
+	c.name("data centre", t.DataCentre)
+	for _, e := range t.Entries {
+		c.name("host", e.Host)
+		c.count("capacity", e.Capacity)
+	}
+	c.cold(t.ColdUpstreams)
+}
+
+func (c *checker) cold(upstreams []ColdUpstream) {
+	for _, u := range upstreams {
+		c.duration("time that an upstream stays cold", u.Left)
+	}
+}
+
 func (c *checker) heartbeat(hb *Heartbeat) {
 	c.count("capacity", hb.Capacity)
 	c.require(hb.OperatorsPosition >= 0 && hb.ListPosition >= 0, "position", "is negative")
-	for _, cold := range hb.ColdUpstreams {
-		c.duration("time that an upstream stays cold", cold.Left)
-	}
+	c.cold(hb.ColdUpstreams)
 }
 
 func (c *checker) attemptRequest(from string, r *grant.AttemptRequest) {
--- a/sardinegate/mesh/mesh.go
+++ b/sardinegate/mesh/mesh.go
@@ -6,8 +6,6 @@
 	"log/slog"
 	"net"
 	"net/netip"
-	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,30 +36,27 @@
 	Capacity int
 }
 
-// Member is the last known status of another host.
-type Member struct {
-	Host, DataCentre, CallerAddress string
-	Leaving, Ready                  bool
-	Capacity                        int
-	OperatorsPosition, ListPosition int64
-	boot                            int64
-	addr                            netip.AddrPort
-	lastReceived                    time.Duration
-	// lossLogged is set once the loss of the host was logged, until a message from it is received again.
-	lossLogged bool
-}
-
 // Handler handles the messages of other hosts. It must not block.
 type Handler func(m *Message)
 
+// packetConn is the socket of a node; see net.UDPConn.
+type packetConn interface {
+	ReadFromUDPAddrPort(b []byte) (n int, addr netip.AddrPort, err error)
+	WriteToUDPAddrPort(b []byte, addr netip.AddrPort) (int, error)
+	Close() error
+}
+
 // Node sends and receives the messages of this host and holds the other hosts. It is safe for concurrent use.
 type Node struct {
-	self  Self
-	conn  *net.UDPConn
-	start time.Time
+	self Self
+	conn packetConn
+	// clock returns the time since the node was created.
+	clock func() time.Duration
 	log   *slog.Logger
 	done  sync.WaitGroup
 	stop  chan struct{}
+	// logInvalidAt is when the next invalid message is logged; only receiveDatagram uses it.
+	logInvalidAt time.Duration
 
 	handler atomic.Pointer[Handler]
 	status  atomic.Pointer[func() Heartbeat]
@@ -81,6 +76,11 @@
 	mu sync.Mutex
 	// members holds the other hosts by name.
 	members map[string]*Member
+	// leaving is the last status of this host that was sent. relaying and sendsTables tell whether there are enough live hosts
+	// for speakers; see relayFrom.
+	leaving, relaying, sendsTables bool
+	// table is the state of the tables that this host sends as a speaker.
+	table tableState
 	// unconfirmed holds addresses from which no message was received yet, with the time when each was added.
 	unconfirmed map[netip.AddrPort]time.Duration
 }
@@ -91,15 +91,21 @@
 	if err != nil {
 		return nil, err
 	}
+	start := time.Now()
+	return newNode(self, conn, func() time.Duration { return time.Since(start) }, log), nil
+}
+
+// newNode returns a node that sends with conn.
+func newNode(self Self, conn packetConn, clock func() time.Duration, log *slog.Logger) *Node {
 	return &Node{
 		self:        self,
 		conn:        conn,
-		start:       time.Now(),
+		clock:       clock,
 		log:         log,
 		stop:        make(chan struct{}),
 		members:     make(map[string]*Member),
 		unconfirmed: make(map[netip.AddrPort]time.Duration),
-	}, nil
+	}
 }
 
 // Start starts to receive messages and to send heartbeats. status returns the current status of this host; the node adds
@@ -138,8 +144,8 @@
 	n.done.Wait()
 }
 
-// now returns the time since the node was created.
-func (n *Node) now() time.Duration { return time.Since(n.start) }
+// now returns the time on the clock of the node.
+func (n *Node) now() time.Duration { return n.clock() }
 
 // AddAddress adds the address of a host that may be alive. Heartbeats are sent to it until forgetAfter has passed
 // without a message from it. The address of this host or of a known member is ignored.
@@ -167,51 +173,48 @@
 	return hb
 }
 
-// SendHeartbeat sends a heartbeat to all known addresses now. It also logs hosts that are no longer alive and forgets
-// those that have been silent for longer than forgetAfter.
+// SendHeartbeat sends a heartbeat to the known addresses now, and a table if this host speaks for its data centre. It also logs
+// hosts that are no longer alive and forgets those that have been silent for longer than forgetAfter.
 func (n *Node) SendHeartbeat() {
 	n.heartbeatMu.Lock()
 	defer n.heartbeatMu.Unlock()
 	hb := n.heartbeat()
-	now := n.now()
 	n.mu.Lock()
-	var to []netip.AddrPort
-	for host, m := range n.members {
-		if !m.lossLogged && !n.alive(m) {
-			m.lossLogged = true
-			n.log.Warn("host lost", "host", host, "dataCentre", m.DataCentre, "silentMs", (now - m.lastReceived).Milliseconds())
-		}
-		if now-m.lastReceived > forgetAfter {
-			delete(n.members, host)
-			continue
-		}
-		to = append(to, m.addr)
-	}
-	for addr, since := range n.unconfirmed {
-		if now-since > forgetAfter {
-			delete(n.unconfirmed, addr)
-			continue
-		}
-		to = append(to, addr)
-	}
+	n.leaving = hb.Leaving
+	n.countAlive()
+	heartbeatTo, helloTo := n.recipients()
 	n.mu.Unlock()
-	n.send(&Message{Heartbeat: &hb}, to...)
+	n.send(&Message{Heartbeat: &hb}, heartbeatTo...)
+	n.send(&Message{Hello: &Hello{}}, helloTo...)
+	n.sendTable(&hb)
 }
 
 // send encodes a message and sends it to the addresses. It drops a message that is too long for a datagram.
 func (n *Node) send(m *Message, to ...netip.AddrPort) {
-	if len(to) == 0 {
-		return
+	if len(to) > 0 {
+		n.write(n.encode(m), to...)
 	}
+}
+
+// encode encodes a message of this host. It returns nil if the message is too long for a datagram.
+func (n *Node) encode(m *Message) []byte {
 	m.From, m.Boot = n.self.Host, n.self.Boot
 	data, err := encoder.Marshal(m)
 	if err != nil {
 		n.Invalid.Add(1)
 		n.log.Error("message not encoded", "error", err)
-		return
+		return nil
 	}
 	if len(data) > maxDatagram {
 		n.log.Info("message too long for a datagram", "bytes", len(data))
+		return nil
+	}
+	return data
+}
+
+// write sends an encoded message to the addresses, unless it is nil.
+func (n *Node) write(data []byte, to ...netip.AddrPort) {
+	if data == nil {
 		return
 	}
 	for _, addr := range to {
@@ -237,23 +240,9 @@
 	return true
 }
 
-// Broadcast sends a message to all hosts that are alive.
-func (n *Node) Broadcast(m *Message) {
-	var to []netip.AddrPort
-	n.mu.Lock()
-	for _, member := range n.members {
-		if n.alive(member) {
-			to = append(to, member.addr)
-		}
-	}
-	n.mu.Unlock()
-	n.send(m, to...)
-}
-
 // receive reads datagrams and passes valid messages to the handler until the socket is closed.
 func (n *Node) receive() {
 	buf := make([]byte, maxDatagram)
-	logInvalidAt := time.Duration(0)
 	for {
 		size, from, err := n.conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
@@ -262,91 +251,55 @@
 		if err != nil {
 			continue // an earlier datagram could not be delivered, for example because its port was closed
 		}
-		n.Received.Add(1)
-		m, newer, err := Decode(buf[:size])
-		if err == nil && m.From == n.self.Host {
-			err = &InvalidMessageError{"sender", "is this host"}
-		}
-		if err != nil {
-			n.Invalid.Add(1)
-			if now := n.now(); now >= logInvalidAt {
-				n.log.Warn("message dropped", "from", from.String(), "bytes", size, "error", err)
-				logInvalidAt = now + invalidLogInterval
-			}
-			continue
-		}
-		if newer {
-			n.Newer.Add(1)
-		}
-		if n.updateMember(m, netip.AddrPortFrom(from.Addr().Unmap(), from.Port())) {
-			(*n.handler.Load())(m)
-		}
+		n.receiveDatagram(buf[:size], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
 	}
 }
 
-// updateMember updates the member that sent a message. It returns false if the message must be dropped because it is
-// from an earlier lifetime of the host, or is not a heartbeat and the host is not known.
-func (n *Node) updateMember(m *Message, from netip.AddrPort) bool {
-	n.mu.Lock()
-	member := n.members[m.From]
-	// The clock may have been set back before a restart, so a lower Boot is accepted once the earlier lifetime no longer
-	// counts as alive.
-	if member != nil && m.Boot < member.boot && n.alive(member) {
-		n.mu.Unlock()
-		return false
-	}
-	newlyAlive := member == nil || m.Boot != member.boot || !n.alive(member)
-	if newlyAlive && m.Heartbeat == nil && member == nil {
-		n.mu.Unlock()
-		return false // the host becomes a member with its next heartbeat
+// receiveDatagram handles a datagram. Calls must not overlap.
+func (n *Node) receiveDatagram(data []byte, from netip.AddrPort) {
+	n.Received.Add(1)
+	m, newer, err := Decode(data)
+	if err == nil && m.From == n.self.Host {
+		err = &InvalidMessageError{"sender", "is this host"}
 	}
-	if member == nil {
-		member = &Member{Host: m.From}
-		n.members[m.From] = member
+	if err != nil {
+		n.Invalid.Add(1)
+		if now := n.now(); now >= n.logInvalidAt {
+			n.log.Warn("message dropped", "from", from.String(), "bytes", len(data), "error", err)
+			n.logInvalidAt = now + invalidLogInterval
+		}
+		return
 	}
-	changed := false
-	member.boot, member.addr, member.lastReceived, member.lossLogged = m.Boot, from, n.now(), false
-	n.firstMessageAt.CompareAndSwap(0, int64(n.now()))
-	if hb := m.Heartbeat; hb != nil {
-		changed = !newlyAlive && (member.Leaving != hb.Leaving || member.Ready != hb.Ready)
-		member.DataCentre, member.CallerAddress = hb.DataCentre, hb.CallerAddress
-		member.Leaving, member.Ready, member.Capacity = hb.Leaving, hb.Ready, hb.Capacity
-		member.OperatorsPosition, member.ListPosition = hb.OperatorsPosition, hb.ListPosition
+	if newer {
+		n.Newer.Add(1)
 	}
-	delete(n.unconfirmed, from)
-	n.mu.Unlock()
-	if changed {
-		n.log.Info("host changed", "host", m.From, "ready", m.Heartbeat.Ready, "leaving", m.Heartbeat.Leaving)
+	if n.updateMember(m, from) {
+		n.handle(m)
 	}
-	if newlyAlive {
-		n.log.Info("host is alive", "host", m.From, "boot", m.Boot)
-		n.heartbeatMu.Lock()
-		defer n.heartbeatMu.Unlock()
-		hb := n.heartbeat()
-		n.send(&Message{Heartbeat: &hb}, from)
-		if f := n.onAlive.Load(); f != nil {
-			(*f)(m.From)
+}
+
+// handle handles a message of a known host.
+func (n *Node) handle(m *Message) {
+	switch {
+	case m.Hello != nil:
+		n.handleHello(m.From, m.Hello)
+	case m.Forward != nil:
+		if !n.handleForward(m.Forward) {
+			n.Invalid.Add(1)
 		}
+	default:
+		(*n.handler.Load())(m)
 	}
-	return true
 }
 
-// alive reports whether a message of m was received within aliveTimeout. n.mu must be held.
-func (n *Node) alive(m *Member) bool { return n.now()-m.lastReceived <= aliveTimeout }
+// reportAlive logs a host that was found alive by a table, and reports it to the function set by OnAlive.
+func (n *Node) reportAlive(host string) {
+	n.log.Info("host is alive", "host", host, "by", "table")
+	n.callOnAlive(host)
+}
 
-// Alive returns the other hosts that are alive, sorted by name.
-func (n *Node) Alive() []Member {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	alive := make([]Member, 0, len(n.members))
-	for _, m := range n.members {
-		if n.alive(m) {
-			alive = append(alive, *m)
-		}
+func (n *Node) callOnAlive(host string) {
+	if f := n.onAlive.Load(); f != nil {
+		(*f)(host)
 	}
-	slices.SortFunc(alive, func(a, b Member) int { return strings.Compare(a.Host, b.Host) })
-	return alive
 }
-
-// Address returns the address at which the member receives messages and requests of other hosts.
-func (m *Member) Address() netip.AddrPort { return m.addr }
--- a/sardinegate/mesh/message.go
+++ b/sardinegate/mesh/message.go
@@ -57,6 +57,9 @@
 	// Notices holds what upstreams said about further requests. Beside an AttemptEnd, the upstream said it to the sender;
 	// else the sender repeats what it was told, and only Leaving counts.
 	Notices []UpstreamNotice `cbor:"9,keyasint,omitempty"`
+	Hello   *Hello           `cbor:"10,keyasint,omitempty"`
+	Table   *Table           `cbor:"11,keyasint,omitempty"`
+	Forward *Forward         `cbor:"12,keyasint,omitempty"`
 }
 
 // UpstreamNotice is what an upstream said in its present lifetime about further requests.
