--- a/lib/grant/notice.go
+++ b/lib/grant/notice.go
@@ -30,7 +30,7 @@
 	return s.notices.Get(l).Notice(now, host)
 }
 
-// LeavingReady returns the lifetimes that are leaving by the word of their upstreams, by service, though the list shows them as
+// LeavingReady returns the lifetimes that are leaving by their own responses, by service, though the list shows them as
 // ready. Hosts that got none of their responses can't know this from the list. If fromResponse is set, it leaves out those of
 // which this host knows it only because another host repeated it.
 func (s *State) LeavingReady(fromResponse bool) map[string][]fleet.Lifetime {
--- a/lib/grant/notice_test.go
+++ b/lib/grant/notice_test.go
@@ -11,7 +11,7 @@
 )
 
 // Guards against an owner that goes on granting an upstream that has said in a response that it is leaving, to any host, and
-// against a word that outlasts the lifetime of the upstream or is lost while its entry is away.
+// against a notice that outlasts the lifetime of the upstream or is lost while its entry is away.
 func TestLeavingUpstreamIsNotGranted(t *testing.T) {
 	a, b := upstreamIn("a", passau), upstreamIn("b", landshut)
 	a.Started, b.Started = 1, 1
@@ -182,9 +182,9 @@
 }
 
 // Guards against a host that sends a request to an upstream that has told it that it is leaving, or to send nothing for a
-// time: with hundreds of hosts and attempts in flight, an upstream is granted before its word reaches the owner, and the word
+// time: with hundreds of hosts and attempts in flight, an upstream is granted before its notice reaches the owner, and the notice
 // may be lost on the way there.
-func TestNoHostSendsAgainstAnUpstreamsWord(t *testing.T) {
+func TestNoHostSendsAgainstANotice(t *testing.T) {
 	for _, hosts := range []int{20, 300} {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprintf("%d hosts, seed %d", hosts, seed), func(t *testing.T) {
--- a/lib/grant/pick.go
+++ b/lib/grant/pick.go
@@ -142,8 +142,8 @@
 	return u.State == fleet.Ready && !out
 }
 
-// usable reports whether a request may be sent to u by the host that asks. A cold upstream needs a token of its cold rate; only the owner
-// grants these, because hosts that decide on their own would exceed the rate together.
+// usable reports whether a request may be sent to u by the host that asks. A cold upstream needs a token of its cold rate;
+// only the owner grants these, because hosts that decide on their own would exceed the rate together.
 func (s *State) usable(now time.Duration, svc *service, u *upstream, req *AttemptRequest) bool {
 	if !s.inService(u) || u.notices.Blocks(now, req.ID.Host) || slices.Contains(req.Tried, u.ID) {
 		return false
--- a/lib/grant/request.go
+++ b/lib/grant/request.go
@@ -123,7 +123,7 @@
 // first group that it fits.
 type UpstreamCounts struct {
 	_ struct{} `cbor:",toarray"`
-	// Listed counts all upstreams, Out those that are leaving, by the list or by their own word, or whose data centre is out
+	// Listed counts all upstreams, Out those that are leaving, by the list or by their own responses, or whose data centre is out
 	// of service.
 	Listed, Out int
 	// Tried counts those that already got the request, Cold those whose cold rate is used up (or all cold ones, if the
--- a/proofs/reports_test.go
+++ b/proofs/reports_test.go
@@ -24,7 +24,7 @@
 
 // The tests in this file play what operators of similar systems have reported; see docs/proofs.md.
 
-// noticeTime is the time in which an upstream's word must reach all hosts: within it, every host has asked the owner, which
+// noticeTime is the time in which an upstream's notice must reach all hosts: within it, every host has asked the owner, which
 // tells all hosts several times.
 const noticeTime = 1500 * time.Millisecond
 
@@ -279,7 +279,7 @@
 		encode(message{6: []any{id, "u", 99, 0, []any{-1, -1, -1, math.NaN(), -1}}}),             // the end of an attempt with an absurd load
 		encode(message{7: message{1: message{1: -1, 2: math.MaxInt64, 3: math.MinInt64}, 3: 0}}), // changes of the list from nowhere
 		encode(message{8: message{1: message{1: math.MaxInt64, 2: 1, 3: 0}}}),                    // operators' records backwards
-		encode(message{9: []any{[]any{[]any{"", 0}, []any{true, -1}}}}),                          // the word of an upstream without a name
+		encode(message{9: []any{[]any{[]any{"", 0}, []any{true, -1}}}}),                          // the notice of an upstream without a name
 		{}, {0xff}, []byte("GET / HTTP/1.1\r\n\r\n"),
 	}
 	valid := encode(message{4: request("other", int64(time.Second))})
--- a/sardinegate/broker/notice.go
+++ b/sardinegate/broker/notice.go
@@ -102,7 +102,7 @@
 	}
 }
 
-// HostAlive tells a host that has just become alive which upstreams are leaving by their own word. For each service, only the
+// HostAlive tells a host that has just become alive which upstreams are leaving by their own responses. For each service, only the
 // first hosts in the order of owners do so.
 func (b *Broker) HostAlive(host string) {
 	var notices []mesh.UpstreamNotice
--- a/sardinegate/broker/notice_test.go
+++ b/sardinegate/broker/notice_test.go
@@ -77,7 +77,7 @@
 	again := u
 	again.Started++
 	if !owner.MaySend(again) {
-		t.Error("the word of an earlier lifetime of the upstream holds for the next one")
+		t.Error("the notice of an earlier lifetime of the upstream holds for the next one")
 	}
 	others[1].mu.Lock()
 	repeated := others[1].state.LeavingReady(true)
@@ -176,7 +176,7 @@
 	h.RecordNotice(u, fleet.ResponseInfo{InvalidRetryAfter: strings.Repeat("x", 10_000)})
 	h.RecordNotice(u, fleet.ResponseInfo{Upstream: "other", Notice: fleet.Notice{Leaving: true}})
 	if !h.MaySend(u) {
-		t.Error("an invalid time, or the word of another upstream, was obeyed")
+		t.Error("an invalid time, or the notice of another upstream, was obeyed")
 	}
 	h.RecordNotice(u, fleet.ResponseInfo{Upstream: "u", Notice: fleet.Notice{RetryAfter: 1_000_000_000 * time.Second}})
 	if h.MaySend(u) {
@@ -275,9 +275,9 @@
 	}
 }
 
-// Guards against health responses whose word is missed, and against probes of an upstream that wants no requests: also of one
-// that was due before the word.
-func TestProbesObeyTheUpstreamsWord(t *testing.T) {
+// Guards against health responses whose notice is missed, and against probes of an upstream that wants no requests: also of one
+// that was due before the notice.
+func TestProbesObeyNotices(t *testing.T) {
 	all := startHosts(t, "a")
 	defer closeNodes(all)
 	h := all["a"]
@@ -287,7 +287,7 @@
 	u.Address = startFaultyUpstream(t, "", "Leaving: 1\r\n", &received)
 	h.probe(t.Context(), &probeState{}, u, "/health")
 	if h.MaySend(u) {
-		t.Fatal("the word in a health response was missed")
+		t.Fatal("the notice in a health response was missed")
 	}
 	before := received.Load()
 	p := &probeState{}
--- a/sardinegate/entry/entry_test.go
+++ b/sardinegate/entry/entry_test.go
@@ -515,8 +515,8 @@
 	})
 }
 
-// Guards against the word of an upstream that is missed because its response is a failure, is not the one for the caller or
-// has a long body, and against the word of another upstream that has its address now.
+// Guards against the notice of an upstream that is missed because its response is a failure, is not the one for the caller or
+// has a long body, and against the notice of another upstream that has its address now.
 func TestNoticesAreRecordedFromAllResponses(t *testing.T) {
 	for name, c := range map[string]struct {
 		status  int
--- a/sardinegate/mesh/relay_test.go
+++ b/sardinegate/mesh/relay_test.go
@@ -168,7 +168,7 @@
 	f.after(heartbeatInterval, func() { f.beat(n) })
 }
 
-// stop ends a host without a word.
+// stop ends a host without a message.
 func (f *simFleet) stop(dc, i int) {
 	f.nodes[address(dc, i)].stopped = true
 	delete(f.nodes, address(dc, i))
@@ -274,7 +274,7 @@
 			f.run(time.Second)
 			for _, n := range f.nodes {
 				if n != leaver && len(n.RankHosts("s", false)) != all-1 {
-					t.Errorf("host %s ranks the leaving host a second after its word", n.self.Host)
+					t.Errorf("host %s ranks the leaving host a second after it told so", n.self.Host)
 				}
 			}
 			f.stop(0, 3)
