--- a/lib/grant/notice_test.go
+++ b/lib/grant/notice_test.go
@@ -79,7 +79,7 @@
 	do func(now time.Duration)
 }
 
-// noticeSim is a simulation of hosts, their owner and the upstreams in virtual time. Messages take up to maxDelay, and some
+// noticeSim is a simulation of hosts, their owner and the upstreams in virtual time. Messages take up to simMaxDelay, and some
 // between hosts are lost.
 type noticeSim struct {
 	t      *testing.T
--- a/sardinegate/pool/faulty_test.go
+++ b/sardinegate/pool/faulty_test.go
@@ -161,7 +161,7 @@
 // Guards against a header that is known only once a long body has been read: the next request would be sent meanwhile.
 func TestHeaderIsReportedBeforeTheBody(t *testing.T) {
 	p := newPool(t)
-	reported := make(chan string)
+	reported := make(chan string, 1)
 	addr := startUpstream(t, func(t *testing.T, nc net.Conn, br *bufio.Reader, _ int) {
 		if _, ok := readRequestID(br); !ok {
 			return
