gate: Split gate.go by what its parts do

gate.go held the start of a host, its metrics, its listeners with what they say of readiness, and its signals, reloads and stop. No other change.

--- /dev/null
+++ b/sardinegate/listen.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"sardinecross.example/lib/fleet"
+	"sardinecross.example/platform"
+	"sardinecross.example/sardinegate/entry"
+	"sardinecross.example/sardinegate/front"
+	"sardinecross.example/sardinegate/stats"
+)
+
+const (
+	// metricsPort is the TCP port on which metrics are served at /metrics.
+	metricsPort = 9464
+	// addressLifetime is how long callers may use the addresses of hosts that the directory returned, unless the
+	// settings bound it to less.
+	addressLifetime = 2 * time.Second
+	// minLocalHosts is the number of ready hosts in a data centre below which its callers also get the addresses of
+	// hosts in other data centres.
+	minLocalHosts = 2
+	// joinTimeout is how long a host with a complete view waits for other hosts before it serves callers. It may be the only
+	// one.
+	joinTimeout = 300 * time.Millisecond
+	// readHeaderTimeout and idleTimeout apply to connections from the platform and from other hosts, not from callers.
+	readHeaderTimeout = 30 * time.Second
+	idleTimeout       = 90 * time.Second
+)
+
+// listen opens the listeners of the host and starts to serve them.
+func (g *gate) listen(collector *stats.Collector) error {
+	s := g.settings
+	g.callerServer = &front.Server{Log: g.log, Handler: entry.New(entry.Deps{
+		DataCentre: s.DataCentre, Selector: g.broker, Sender: g.pool, Codec: platform.HeaderCodec{},
+		View: g.servingView, Recorder: collector, Log: g.log,
+	})}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", collector)
+	ip := netip.MustParseAddr(s.IP)
+	for _, l := range []struct {
+		addr    string
+		handler http.Handler // nil for the listener for callers
+	}{
+		{s.CallerAddress, nil},
+		{s.ReadyAddress, platform.ReadyHandler(g)},
+		{s.DirectoryAddress, platform.DirectoryHandler(g)},
+		{netip.AddrPortFrom(ip, metricsPort).String(), mux},
+		{netip.AddrPortFrom(ip, uint16(s.InternalPort)).String(), g.watcher},
+	} {
+		if l.addr == "" {
+			continue
+		}
+		ln, err := net.Listen("tcp4", l.addr)
+		if err != nil {
+			return fmt.Errorf("open listener: %w", err)
+		}
+		g.serveListener(ln, l.handler)
+	}
+	return nil
+}
+
+// serveListener serves ln in the background until shutdown. A nil handler means that callers connect there.
+func (g *gate) serveListener(ln net.Listener, h http.Handler) {
+	serve := g.callerServer.Serve
+	if h != nil {
+		server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+		g.httpServers = append(g.httpServers, server)
+		serve = server.Serve
+	}
+	g.wg.Go(func() { _ = serve(ln) }) // the error is always ErrServerClosed
+}
+
+// Ready implements platform.AddressSource. The host is ready once it may serve callers, until it shuts down.
+func (g *gate) Ready() bool { return g.mayServe() && !g.leaving.Load() }
+
+// mayServe reports whether the host knows a configuration and the list of upstreams, and what other hosts know beyond them. A
+// host that serves before it has heard from the others takes itself for the owner of every service, and uses upstreams of
+// which the others know that they are leaving.
+func (g *gate) mayServe() bool {
+	completeAt := time.Duration(g.completeAt.Load())
+	return completeAt > 0 && (g.node.Joined() || time.Since(g.start) > completeAt+joinTimeout)
+}
+
+// servingView returns the view for requests of callers, which is empty while the host may not serve them.
+func (g *gate) servingView() *fleet.View {
+	if !g.mayServe() {
+		return &fleet.View{}
+	}
+	return g.watcher.View()
+}
+
+// NearestHosts implements platform.AddressSource. It returns the ready hosts in the caller's data centre, or those of
+// all data centres if there are fewer than minLocalHosts, and how long the caller may use the addresses.
+func (g *gate) NearestHosts(dataCentre string) ([]string, time.Duration) {
+	var local, all []string
+	add := func(dc, addr string) {
+		all = append(all, addr)
+		if dc == dataCentre {
+			local = append(local, addr)
+		}
+	}
+	if g.Ready() {
+		add(g.settings.DataCentre, g.settings.CallerAddress)
+	}
+	for _, m := range g.node.Alive() {
+		if m.Ready && !m.Leaving {
+			add(m.DataCentre, m.CallerAddress)
+		}
+	}
+	_, longest := g.reloadableLimits()
+	valid := min(addressLifetime, longest)
+	if len(local) >= minLocalHosts {
+		return local, valid
+	}
+	return all, valid
+}
--- /dev/null
+++ b/sardinegate/stop.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"os"
+	"syscall"
+	"time"
+
+	"sardinecross.example/platform"
+)
+
+const (
+	// settingsCheckInterval is the time between checks whether the settings file was modified, as it may change without
+	// a SIGHUP.
+	settingsCheckInterval = time.Second
+	// drainTime is the length of the last part of the grace period, in which no new connections are accepted and requests
+	// in flight may end. It includes exitMargin.
+	drainTime = 2 * time.Second
+	// exitMargin is the length of the last part of drainTime, in which the process stops its goroutines and exits.
+	exitMargin = 600 * time.Millisecond
+)
+
+// serve reloads the settings on SIGHUP or when their file was modified. Any other signal shuts the host down.
+func (g *gate) serve(signals <-chan os.Signal) {
+	t := time.NewTicker(settingsCheckInterval)
+	defer t.Stop()
+	for {
+		select {
+		case sig := <-signals:
+			if sig != syscall.SIGHUP {
+				g.log.Info("stop", "signal", sig.String())
+				g.shutdown(signals)
+				return
+			}
+			g.reload("signal")
+		case <-t.C:
+			if info, err := os.Stat(g.settingsPath); err == nil && info.ModTime() != g.settingsModTime {
+				g.reload("file changed")
+			}
+		}
+	}
+}
+
+// reload reads the settings again. The grace period, the address lifetime and the retry budget take effect at once; all
+// other settings need a restart. The log line reports this for the listen addresses, the internal port, the address of
+// the store, and the names of the host and its data centre.
+func (g *gate) reload(cause string) {
+	if info, err := os.Stat(g.settingsPath); err == nil {
+		g.settingsModTime = info.ModTime()
+	}
+	s, err := platform.LoadSettings(g.settingsPath)
+	if err != nil {
+		g.log.Error("settings not reloaded", "cause", cause, "error", err)
+		return
+	}
+	restart := s.CallerAddress != g.settings.CallerAddress || s.ReadyAddress != g.settings.ReadyAddress || s.DirectoryAddress != g.settings.DirectoryAddress ||
+		s.InternalPort != g.settings.InternalPort || s.StoreAddress != g.settings.StoreAddress || s.Host != g.settings.Host || s.DataCentre != g.settings.DataCentre
+	g.mu.Lock()
+	g.settings.Grace, g.settings.MaxAddressLifetime = s.Grace, s.MaxAddressLifetime
+	g.mu.Unlock()
+	g.broker.SetRetryBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow)
+	g.log.Info("settings reloaded", "cause", cause, "needsRestart", restart)
+}
+
+// reloadableLimits returns the grace period and the longest lifetime of addresses, which a reload may change.
+func (g *gate) reloadableLimits() (grace, addresses time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.settings.Grace, g.settings.MaxAddressLifetime
+}
+
+// shutdown removes the host from the directory, serves requests that still arrive until drainTime is left of the grace
+// period, lets requests in flight end, and stops everything. It cuts requests that are still in flight exitMargin before
+// the end of the grace period, so that the process ends within it. A further signal skips the wait for drainTime.
+func (g *gate) shutdown(signals <-chan os.Signal) {
+	grace, _ := g.reloadableLimits()
+	g.leaving.Store(true)
+	g.callerServer.DisableKeepAlives()
+	g.node.SendHeartbeat()
+	select {
+	case <-time.After(grace - drainTime):
+	case <-signals:
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), drainTime-exitMargin)
+	defer cancel()
+	if err := g.callerServer.Shutdown(ctx); err != nil {
+		g.log.Warn("requests cut at the end of the grace", "error", err)
+	}
+	g.callerServer.Close()
+	for _, s := range g.httpServers {
+		_ = s.Close() // cuts requests of the platform and of other hosts, which need no answer any more
+	}
+	g.wg.Wait()
+	g.watcher.Close()
+	g.broker.Close()
+	g.node.Close()
+	g.pool.Close()
+	g.store.Close()
+	g.log.Info("stopped")
+	g.logWriter.Close()
+}
