gate: Ignore signals while the host stops

Cause: shutdown waited for the end of the grace or for any further signal from the channel on which SIGHUP arrives as well, and then cut what was left 1.4 s later. A second SIGTERM did the same.

The end of the grace is fixed when SIGTERM comes. Later signals are logged and change nothing; a settings file that changes then is not read any more. Whoever wants the host to end sooner has SIGKILL.

--- /dev/null
+++ b/proofs/stop_test.go
@@ -0,0 +1,268 @@
+package proofs
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"sardinecross.example/platform/standin/server"
+	"sardinecross.example/platform/standin/users"
+)
+
+// The tests in this file stop a host beside load. The callers speak raw HTTP, since a client library hides how a connection
+// ended, and all use the host that is stopped: they hold an answer of the directory from before.
+
+const (
+	// lossSlack is how long after its last byte a request may lose its connection if it was not passed on: it crossed the
+	// close of the connection.
+	lossSlack = 200 * time.Millisecond
+	// limitMargin is how long before its time limit or the timeout of its route the host may answer a request.
+	limitMargin = 50 * time.Millisecond
+)
+
+// stopCall is one request to the host that is stopped, and what came of it.
+type stopCall struct {
+	id          string
+	order       bool
+	work, limit time.Duration
+	begun       time.Time
+	// sent is when the last byte was written; the zero time if the request was not written whole.
+	sent time.Time
+	// ended is when the response was complete or the connection had ended.
+	ended time.Time
+	// status is 0 without a complete response. signed is set if the response is the upstream's.
+	status int
+	signed bool
+	err    error
+}
+
+// stopLoad is the load on one host while it is stopped.
+type stopLoad struct {
+	s  *gateSite
+	h  *gateHost
+	wg sync.WaitGroup
+
+	mu    sync.Mutex
+	calls []*stopCall
+}
+
+// wait waits until all callers have ended, and returns their requests.
+func (l *stopLoad) wait() []*stopCall {
+	l.wg.Wait()
+	return l.calls
+}
+
+// addCall gives a request its ID and keeps it.
+func (l *stopLoad) addCall(c *stopCall) *stopCall {
+	c.id = fmt.Sprintf("s%d", l.s.lastRequestNumber.Add(1))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls = append(l.calls, c)
+	return c
+}
+
+// head returns the request line and the header of a request without its last line.
+func (c *stopCall) head() string {
+	method := http.MethodGet
+	if c.order {
+		method = http.MethodPost
+	}
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nWork-Ms: %d\r\n",
+		method, c.target(), users.RouteHost, c.id, c.limit.Milliseconds(), c.work.Milliseconds())
+}
+
+func (c *stopCall) target() string {
+	if c.order {
+		return "/" + users.OrderService + "/item"
+	}
+	return "/enquiry/item"
+}
+
+// orderText is the body of all orders.
+const orderText = "one order of three lines"
+
+// send writes the request, an order with the length of its body.
+func (c *stopCall) send(nc net.Conn) error {
+	text := c.head()
+	if c.order {
+		text += fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(orderText), orderText)
+	} else {
+		text += "\r\n"
+	}
+	return c.write(nc, text)
+}
+
+// write writes the rest of the request.
+func (c *stopCall) write(nc net.Conn, text string) error {
+	c.begin()
+	if _, err := io.WriteString(nc, text); err != nil {
+		c.fail(err)
+		return err
+	}
+	c.sent = time.Now()
+	return nil
+}
+
+func (c *stopCall) begin() {
+	if c.begun.IsZero() {
+		c.begun = time.Now()
+	}
+}
+
+func (c *stopCall) fail(err error) { c.ended, c.err = time.Now(), err }
+
+// receive reads the response. It returns false if the connection carries no further requests.
+func (c *stopCall) receive(nc net.Conn, br *bufio.Reader) bool {
+	_ = nc.SetReadDeadline(c.begun.Add(c.limit + time.Second))
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		c.fail(err)
+		return false
+	}
+	body, err := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	if err != nil {
+		c.fail(err)
+		return false
+	}
+	n := 0
+	if c.order {
+		n = len(orderText)
+	}
+	c.ended, c.status = time.Now(), resp.StatusCode
+	c.signed = resp.Header.Get("Response-Signature") == server.Signature(c.id) && string(body) == server.Body(c.id, c.target(), n)
+	return !resp.Close
+}
+
+// dial connects to the host, or returns nil if it accepts no connections any more.
+func (l *stopLoad) dial() net.Conn {
+	nc, err := net.DialTimeout("tcp4", l.h.CallerAddress(), time.Second)
+	if err != nil {
+		return nil
+	}
+	return nc
+}
+
+// errBehindClose is the error of a request behind a response that closes the connection, which counts as not read.
+var errBehindClose = errors.New("sent behind a response that closes the connection")
+
+// lostCalls returns what is wrong with the outcomes of requests to a host that was told to stop at the given time: requests
+// that were passed on and have no whole answer, or one of the host in place of the upstream's, and requests that were read whole
+// and lost their connection. A request from before the stop may be lost if its upstream was still at work in the last sixth of
+// the grace.
+func lostCalls(calls []*stopCall, seen users.Stats, stopped time.Time, routeTimeout time.Duration) []string {
+	passedOn := make(map[string]bool)
+	for _, r := range seen.Arrivals {
+		passedOn[r.ID] = true
+	}
+	workEnds := make(map[string]time.Time)
+	runs := make(map[string]time.Time)
+	for _, r := range seen.Runs {
+		runs[r.ID] = r.At
+	}
+	var lost []string
+	for _, c := range calls {
+		if at, ok := runs[c.id]; ok {
+			workEnds[c.id] = at.Add(c.work)
+		}
+		took := c.ended.Sub(c.begun)
+		switch bound := min(c.limit, routeTimeout) - limitMargin; {
+		case c.sent.IsZero(), c.signed, c.status == http.StatusServiceUnavailable, errors.Is(c.err, os.ErrDeadlineExceeded):
+		case took >= bound:
+		case c.sent.Before(stopped) && workEnds[c.id].After(stopped.Add(gateGrace*5/6)):
+		case c.status == 0 && !passedOn[c.id] && c.ended.Sub(c.sent) < lossSlack:
+		case errors.Is(c.err, errBehindClose) && !passedOn[c.id]:
+		default:
+			lost = append(lost, fmt.Sprintf("request %s (order %t, work %v, limit %v, passed on %t), sent %v after SIGTERM, ended %v after it: status %d, %v",
+				c.id, c.order, c.work, c.limit, passedOn[c.id], c.sent.Sub(stopped), c.ended.Sub(stopped), c.status, c.err))
+		}
+	}
+	return lost
+}
+
+// assertNoneLost checks the outcomes of requests to a host that was told to stop at the given time.
+func assertNoneLost(t *testing.T, calls []*stopCall, seen users.Stats, stopped time.Time, routeTimeout time.Duration) {
+	t.Helper()
+	for _, l := range lostCalls(calls, seen, stopped, routeTimeout) {
+		t.Error(l)
+	}
+	ran := make(map[string]int)
+	for _, r := range seen.Runs {
+		ran[r.ID]++
+	}
+	for _, c := range calls {
+		if c.order && ran[c.id] > 1 {
+			t.Errorf("order %s ran %d times", c.id, ran[c.id])
+		}
+		if c.status == http.StatusServiceUnavailable && ran[c.id] > 0 {
+			t.Errorf("request %s was refused and ran", c.id)
+		}
+		if c.status == http.StatusOK && !c.signed {
+			t.Errorf("request %s has a success that is not the upstream's", c.id)
+		}
+	}
+}
+
+// changeSettings changes the settings file of a host: another budget for retries.
+func (s *gateSite) changeSettings(h *gateHost) {
+	s.T.Helper()
+	text := strings.Replace(h.SettingsText(), "retry-slack=50", "retry-slack=51", 1)
+	if err := os.WriteFile(s.Path(h.ID+".conf"), []byte(text), 0o600); err != nil {
+		s.T.Fatal(err)
+	}
+}
+
+// Guards against a signal that ends the grace of a host which is being stopped, and with it the requests in flight: a SIGHUP
+// since its settings have changed, or SIGTERM once more.
+func TestGateSignalsDuringStopCutNothing(t *testing.T) {
+	for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT} {
+		t.Run(sig.String(), func(t *testing.T) {
+			t.Parallel()
+			s := newGateSite(t, 1)
+			const timeout = 4 * time.Second
+			s.sendCommand(map[string]any{"TimeoutMS": timeout.Milliseconds()})
+			time.Sleep(2 * time.Second) // until the timeout is in force
+			l := &stopLoad{s: s, h: s.hosts[0]}
+			for i := range 4 {
+				l.wg.Go(func() { l.sendOrder(3*time.Second, time.Duration(i)*50*time.Millisecond) })
+			}
+			time.Sleep(300 * time.Millisecond)
+			stopped := time.Now()
+			l.h.Signal(syscall.SIGTERM)
+			time.Sleep(500 * time.Millisecond)
+			s.changeSettings(l.h)
+			l.h.Signal(sig)
+			calls := l.wait()
+			assertNoneLost(t, calls, s.platformStats(), stopped, timeout)
+			for _, c := range calls {
+				if !c.signed {
+					t.Errorf("order %s in flight at the stop has status %d, want the answer of its upstream", c.id, c.status)
+				}
+			}
+		})
+	}
+}
+
+// sendOrder sends an order with the given work on a connection of its own, after a pause.
+func (l *stopLoad) sendOrder(work, pause time.Duration) {
+	time.Sleep(pause)
+	nc := l.dial()
+	if nc == nil {
+		l.s.T.Errorf("host %s accepts no connection", l.h.ID)
+		return
+	}
+	defer nc.Close()
+	c := l.addCall(&stopCall{order: true, work: work, limit: 12 * time.Second})
+	if c.send(nc) == nil {
+		c.receive(nc, bufio.NewReader(nc))
+	}
+}
--- a/sardinegate/stop.go
+++ b/sardinegate/stop.go
@@ -20,8 +20,27 @@
 	exitMargin = 600 * time.Millisecond
 )
 
-// serve reloads the settings on SIGHUP or when their file was modified. Any other signal shuts the host down.
+// serve reloads the settings on SIGHUP or when their file was modified. Any other signal shuts the host down. While it shuts
+// down, signals change nothing: the platform kills a host that has to end sooner.
 func (g *gate) serve(signals <-chan os.Signal) {
+	g.awaitStop(signals)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		g.shutdown()
+	}()
+	for {
+		select {
+		case sig := <-signals:
+			g.log.Info("signal ignored while stopping", "signal", sig.String())
+		case <-ended:
+			return
+		}
+	}
+}
+
+// awaitStop reloads the settings when they may have changed, until a signal asks the host to stop.
+func (g *gate) awaitStop(signals <-chan os.Signal) {
 	t := time.NewTicker(settingsCheckInterval)
 	defer t.Stop()
 	for {
@@ -29,7 +48,6 @@
 		case sig := <-signals:
 			if sig != syscall.SIGHUP {
 				g.log.Info("stop", "signal", sig.String())
-				g.shutdown(signals)
 				return
 			}
 			g.reload("signal")
@@ -71,16 +89,13 @@
 
 // shutdown removes the host from the directory, serves requests that still arrive until drainTime is left of the grace
 // period, lets requests in flight end, and stops everything. It cuts requests that are still in flight exitMargin before
-// the end of the grace period, so that the process ends within it. A further signal skips the wait for drainTime.
-func (g *gate) shutdown(signals <-chan os.Signal) {
+// the end of the grace period, so that the process ends within it.
+func (g *gate) shutdown() {
 	grace, _ := g.reloadableLimits()
 	g.leaving.Store(true)
 	g.callerServer.DisableKeepAlives()
 	g.node.SendHeartbeat()
-	select {
-	case <-time.After(grace - drainTime):
-	case <-signals:
-	}
+	time.Sleep(grace - drainTime)
 	ctx, cancel := context.WithTimeout(context.Background(), drainTime-exitMargin)
 	defer cancel()
 	if err := g.callerServer.Shutdown(ctx); err != nil {
