grace, entry, gate: Refuse at once what a stopping host may not finish

Reproduced with TestGateStopLosesNoRequest: separate processes, SIGTERM beside load on new and kept connections, bodies in chunks, some work longer than the grace. Two causes: - Requests were admitted without regard to the time that was left: all until 4 s of 6 s, and after that on connections accepted before; what was still in flight at 5.4 s was cut. - A connection closes after the response to its newest request. A caller that pipelines sends the next one before that response is written, so its connection never announces its close; it went on taking requests until the cut at 5.4 s. This hits requests of 20 ms, which explains losses with timeouts of 1.2 s, which the first cause does not. Ruled out as the cause by the same runs: connections that wait to be accepted, bodies in chunks by themselves, refusals.

When SIGTERM comes, package grace fixes once by when every request has its answer (grace - 200 ms). From then on an attempt starts only if the request's own time limit ends before; anything else is refused at once with 503, which is true as it was not sent. That holds for first attempts, retries and hedges, whatever an upstream does, and it ends pipelined connections: a refusal is the newest response and announces the close. Requests from before SIGTERM that are still in flight at the end get 504 in place of a cut connection. Considered instead: to admit by the expected time. It serves more, but a slow upstream or a queue there still loses requests, and a refusal costs the caller one connection to another host.

--- /dev/null
+++ b/proofs/stopload_test.go
@@ -0,0 +1,213 @@
+package proofs
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// The tests in this file stop a host beside random load on new and kept connections.
+
+// startStopLoad starts callers of each kind. They end when the host refuses a connection.
+func (s *gateSite) startStopLoad(h *gateHost, seed uint64, callersEach int) *stopLoad {
+	l := &stopLoad{s: s, h: h}
+	for i, run := range []func(*rand.Rand){l.callOnNewConnections, l.callOnKeptConnections, l.callInChunks, l.callPipelined} {
+		for j := range callersEach {
+			rng := rand.New(rand.NewPCG(seed, uint64(i*callersEach+j)))
+			l.wg.Go(func() { run(rng) })
+		}
+	}
+	return l
+}
+
+// newCall returns a request with a random work and time limit.
+func (l *stopLoad) newCall(rng *rand.Rand, order bool) *stopCall {
+	between := func(a, b time.Duration) time.Duration { return a + time.Duration(rng.Int64N(int64(b-a))) }
+	var work time.Duration
+	switch n := rng.IntN(100); {
+	case n < 60:
+		work = between(10*time.Millisecond, 300*time.Millisecond)
+	case n < 85:
+		work = between(300*time.Millisecond, 1400*time.Millisecond)
+	case n < 95:
+		work = between(1400*time.Millisecond, 4*time.Second)
+	default:
+		work = 8 * time.Second // more than the grace
+	}
+	limits := []time.Duration{time.Second, 3 * time.Second, 12 * time.Second}
+	return l.addCall(&stopCall{order: order, work: work, limit: limits[rng.IntN(len(limits))]})
+}
+
+// callOnNewConnections sends each request on a connection of its own, some of them a while after it was opened.
+func (l *stopLoad) callOnNewConnections(rng *rand.Rand) {
+	for nc := l.dial(); nc != nil; nc = l.dial() {
+		time.Sleep(time.Duration(rng.IntN(100)) * time.Millisecond)
+		if c := l.newCall(rng, rng.IntN(2) == 0); c.send(nc) == nil {
+			c.receive(nc, bufio.NewReader(nc))
+		}
+		_ = nc.Close()
+	}
+}
+
+// callOnKeptConnections sends requests one after the other on one connection while the host keeps it open.
+func (l *stopLoad) callOnKeptConnections(rng *rand.Rand) {
+	for nc := l.dial(); nc != nil; nc = l.dial() {
+		br := bufio.NewReader(nc)
+		for kept := true; kept; {
+			c := l.newCall(rng, rng.IntN(2) == 0)
+			kept = c.send(nc) == nil && c.receive(nc, br)
+			time.Sleep(time.Duration(rng.IntN(200)) * time.Millisecond)
+		}
+		_ = nc.Close()
+	}
+}
+
+// callInChunks sends orders whose bodies come in chunks, with pauses between them.
+func (l *stopLoad) callInChunks(rng *rand.Rand) {
+	for nc := l.dial(); nc != nil; nc = l.dial() {
+		br := bufio.NewReader(nc)
+		for kept := true; kept; {
+			c := l.newCall(rng, true)
+			kept = c.sendChunks(nc, rng) == nil && c.receive(nc, br)
+		}
+		_ = nc.Close()
+	}
+}
+
+// sendChunks writes an order with its body in chunks.
+func (c *stopCall) sendChunks(nc net.Conn, rng *rand.Rand) error {
+	c.begin()
+	if _, err := io.WriteString(nc, c.head()+"Transfer-Encoding: chunked\r\n\r\n"); err != nil {
+		c.fail(err)
+		return err
+	}
+	for rest := orderText; rest != ""; {
+		time.Sleep(time.Duration(rng.IntN(150)) * time.Millisecond)
+		n := min(len(rest), 10)
+		if _, err := fmt.Fprintf(nc, "%x\r\n%s\r\n", n, rest[:n]); err != nil {
+			c.fail(err)
+			return err
+		}
+		rest = rest[n:]
+	}
+	return c.write(nc, "0\r\n\r\n")
+}
+
+// callPipelined sends enquiries on one connection without waiting for the responses, while the host keeps it open.
+func (l *stopLoad) callPipelined(rng *rand.Rand) {
+	for nc := l.dial(); nc != nil; nc = l.dial() {
+		sent, closing := make(chan *stopCall, 8), make(chan struct{})
+		var reader sync.WaitGroup
+		reader.Go(func() { receivePipelined(nc, sent, closing) })
+		l.sendPipelined(nc, rng, sent, closing)
+		close(sent)
+		reader.Wait()
+		_ = nc.Close()
+	}
+}
+
+// sendPipelined sends enquiries until the connection is closing.
+func (l *stopLoad) sendPipelined(nc net.Conn, rng *rand.Rand, sent chan<- *stopCall, closing <-chan struct{}) {
+	for {
+		c := l.newCall(rng, false)
+		if c.send(nc) != nil {
+			return
+		}
+		select {
+		case sent <- c:
+		case <-closing:
+			c.fail(errBehindClose)
+			return
+		}
+		select {
+		case <-closing:
+			return
+		case <-time.After(time.Duration(rng.IntN(150)) * time.Millisecond):
+		}
+	}
+}
+
+// receivePipelined receives the responses to the requests of a connection. It closes closing when no further one can come.
+func receivePipelined(nc net.Conn, sent <-chan *stopCall, closing chan<- struct{}) {
+	br := bufio.NewReader(nc)
+	var behind error // the error of further requests
+	for c := range sent {
+		switch {
+		case behind != nil:
+			c.fail(behind)
+		case !c.receive(nc, br):
+			behind = errBehindClose
+			if errors.Is(c.err, os.ErrDeadlineExceeded) {
+				behind = c.err // the caller gives up the connection
+			}
+			close(closing)
+		}
+	}
+}
+
+// stopBesideLoad stops a host beside load, with further signals that are sent to it at 0.5 s intervals, and returns the requests.
+func stopBesideLoad(t *testing.T, s *gateSite, h *gateHost, l *stopLoad, further ...syscall.Signal) (calls []*stopCall, stopped time.Time) {
+	t.Helper()
+	time.Sleep(time.Second)
+	stopped = time.Now()
+	h.Signal(syscall.SIGTERM)
+	for _, sig := range further {
+		time.Sleep(500 * time.Millisecond)
+		if sig == syscall.SIGHUP {
+			s.changeSettings(h)
+		}
+		h.Signal(sig)
+	}
+	select {
+	case <-h.Done:
+	case <-time.After(time.Until(stopped.Add(gateGrace))):
+		t.Errorf("host %s did not stop within its grace of %v", h.ID, gateGrace)
+		h.Kill()
+	}
+	h.alive.Store(false)
+	return l.wait(), stopped
+}
+
+// assertSomeServed checks that the host has served requests that came after SIGTERM.
+func assertSomeServed(t *testing.T, calls []*stopCall, stopped time.Time) {
+	t.Helper()
+	counts := make(map[int]int)
+	served := 0
+	for _, c := range calls {
+		if c.sent.After(stopped) {
+			counts[c.status]++
+			if c.signed {
+				served++
+			}
+		}
+	}
+	t.Logf("%d requests, after SIGTERM by status: %v", len(calls), counts)
+	if served == 0 {
+		t.Error("no request that came after SIGTERM was served")
+	}
+}
+
+// Guards against requests that lose their answer because their host is stopped: callers go on sending on new and kept
+// connections, pipelined and with bodies in chunks, to upstreams some of which take longer than the grace.
+func TestGateStopLosesNoRequest(t *testing.T) {
+	for _, timeout := range []time.Duration{1500 * time.Millisecond, 4 * time.Second} {
+		t.Run(timeout.String(), func(t *testing.T) {
+			t.Parallel()
+			s := newGateSite(t, 2)
+			s.sendCommand(map[string]any{"TimeoutMS": timeout.Milliseconds()})
+			time.Sleep(2 * time.Second) // until the timeout is in force
+			h := s.hosts[0]
+			calls, stopped := stopBesideLoad(t, s, h, s.startStopLoad(h, 1, 6))
+			assertNoneLost(t, calls, s.platformStats(), stopped, timeout)
+			assertSomeServed(t, calls, stopped)
+		})
+	}
+}
--- a/sardinegate/entry/entry.go
+++ b/sardinegate/entry/entry.go
@@ -31,7 +31,8 @@
 	responseMargin = 30 * time.Millisecond
 	// notReadyRetryAfter is the Retry-After of a host that has no configuration or no list of upstreams yet.
 	notReadyRetryAfter = 200 * time.Millisecond
-	// minRetryAfter is the lower bound of Retry-After.
+	// minRetryAfter is the lower bound of Retry-After, and what a host that is being stopped sends: other hosts can serve the
+	// request at once.
 	minRetryAfter = 50 * time.Millisecond
 )
 
@@ -58,6 +59,14 @@
 	Attempt(service, outcome string, took time.Duration)
 }
 
+// Stop tells whether the host is being stopped, and what it can still finish; see grace.Stop.
+type Stop interface {
+	// MayFinish reports whether a request that ends by a deadline may be sent to an upstream.
+	MayFinish(deadline time.Time) bool
+	// Context returns a context that is done once every request has to end.
+	Context() context.Context
+}
+
 // Deps are the dependencies of a handler.
 type Deps struct {
 	DataCentre string
@@ -65,6 +74,7 @@
 	Sender     Sender
 	Codec      fleet.HeaderCodec
 	View       func() *fleet.View
+	Stop       Stop
 	Recorder   Recorder
 	Log        *slog.Logger
 }
@@ -108,6 +118,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(h.deps.Stop.Context(), cancel)()
 	if o := h.readBody(c); o != nil {
 		h.respond(w, c, o)
 		return
--- a/sardinegate/entry/entry_test.go
+++ b/sardinegate/entry/entry_test.go
@@ -15,6 +15,7 @@
 	"sardinecross.example/lib/grant"
 	"sardinecross.example/lib/route"
 	"sardinecross.example/sardinegate/broker"
+	"sardinecross.example/sardinegate/grace"
 	"sardinecross.example/sardinegate/pool"
 )
 
@@ -139,6 +140,7 @@
 	*Handler
 	selector *fakeSelector
 	sender   *fakeSender
+	stop     *grace.Stop
 }
 
 func newFixture(t *testing.T, responses map[string]responder) *fixture {
@@ -159,10 +161,11 @@
 		upstreams = append(upstreams, fleet.Upstream{ID: id, Service: "s", Address: id, Slots: 1})
 	}
 	view := (&fleet.View{Routes: table}).WithUpstreams(upstreams)
-	f := &fixture{selector: &fakeSelector{}, sender: &fakeSender{responses: responses}}
+	f := &fixture{selector: &fakeSelector{}, sender: &fakeSender{responses: responses}, stop: grace.New()}
+	t.Cleanup(f.stop.Close)
 	f.Handler = New(Deps{
 		Selector: f.selector, Sender: f.sender, Codec: fakeCodec{}, View: func() *fleet.View { return view },
-		Recorder: discardRecorder{}, Log: slog.New(slog.DiscardHandler),
+		Stop: f.stop, Recorder: discardRecorder{}, Log: slog.New(slog.DiscardHandler),
 	})
 	return f
 }
--- a/sardinegate/entry/outcome.go
+++ b/sardinegate/entry/outcome.go
@@ -120,6 +120,8 @@
 		return &outcome{resp: failed}
 	case !mayHaveRun:
 		return refuse(http.StatusServiceUnavailable, "not run by any upstream", max(retryAfter, minRetryAfter))
+	case h.deps.Stop.Context().Err() != nil:
+		return refuse(http.StatusGatewayTimeout, "host has stopped", 0)
 	case late:
 		return refuse(http.StatusGatewayTimeout, "time limit passed", 0)
 	}
--- a/sardinegate/entry/run.go
+++ b/sardinegate/entry/run.go
@@ -179,8 +179,11 @@
 }
 
 // startAttempt asks for an upstream and starts an attempt there. If the granted upstream is not usable any more, it asks for
-// another one. It returns an outcome if it is refused.
+// another one. It returns an outcome if it is refused, also if this host may have stopped before the attempt ends.
 func (h *Handler) startAttempt(ctx context.Context, c *call, ended chan<- *attempt, countsAsRetry, hedge bool) *outcome {
+	if !h.deps.Stop.MayFinish(c.deadline) {
+		return refuse(http.StatusServiceUnavailable, "host is stopping", minRetryAfter)
+	}
 	var d broker.Decision
 	for range maxUnusableGrants {
 		d = h.deps.Selector.Decide(ctx, h.attemptRequest(c, countsAsRetry, hedge), c.hedges)
--- a/sardinegate/gate.go
+++ b/sardinegate/gate.go
@@ -16,6 +16,7 @@
 	"sardinecross.example/platform"
 	"sardinecross.example/sardinegate/broker"
 	"sardinecross.example/sardinegate/front"
+	"sardinecross.example/sardinegate/grace"
 	"sardinecross.example/sardinegate/logger"
 	"sardinecross.example/sardinegate/mesh"
 	"sardinecross.example/sardinegate/pool"
@@ -48,7 +49,7 @@
 	watcher         *watch.Watcher
 	pool            *pool.Pool
 	broker          *broker.Broker
-	leaving         atomic.Bool
+	stop            *grace.Stop
 	callerServer    *front.Server
 	httpServers     []*http.Server
 	wg              sync.WaitGroup
@@ -73,7 +74,8 @@
 	if quiet {
 		level = slog.LevelWarn
 	}
-	g := &gate{settings: s, settingsPath: path, logWriter: logger.NewWriter(out), store: platform.NewStore(s.StoreAddress), pool: pool.New(), start: time.Now()}
+	g := &gate{settings: s, settingsPath: path, logWriter: logger.NewWriter(out), store: platform.NewStore(s.StoreAddress), pool: pool.New(),
+		stop: grace.New(), start: time.Now()}
 	g.log = logger.NewLogger(g.logWriter, level)
 	if info, err := os.Stat(path); err == nil {
 		g.settingsModTime = info.ModTime()
@@ -93,7 +95,7 @@
 	})
 	g.broker = broker.New(broker.Deps{
 		Host: s.Host, Node: g.node, Pool: g.pool, Codec: platform.HeaderCodec{}, Log: g.log,
-		View: g.watcher.View, Leaving: g.leaving.Load,
+		View: g.watcher.View, Leaving: g.stop.Begun,
 		ProbeInterval:   time.Duration(float64(time.Second) / min(maxProbesPerSecond, s.MaxProbesPerSecond)),
 		ProbesPerSecond: float64(capacity(s)),
 	}, grant.Settings{
@@ -155,7 +157,7 @@
 func (g *gate) heartbeat() mesh.Heartbeat {
 	operators, list := g.watcher.Positions()
 	return mesh.Heartbeat{
-		Leaving:           g.leaving.Load(),
+		Leaving:           g.stop.Begun(),
 		Ready:             g.Ready(),
 		OperatorsPosition: operators,
 		ListPosition:      list,
--- a/sardinegate/gate_test.go
+++ b/sardinegate/gate_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"sardinecross.example/sardinegate/grace"
 	"sardinecross.example/sardinegate/mesh"
 )
 
@@ -33,7 +34,7 @@
 	port := uint16(c.LocalAddr().(*net.UDPAddr).Port)
 	_ = c.Close()
 	a := startNode(t, "a", 1, port)
-	alone := &gate{node: a, start: time.Now()}
+	alone := &gate{node: a, stop: grace.New(), start: time.Now()}
 	if alone.mayServe() {
 		t.Error("the host serves without a view")
 	}
@@ -47,7 +48,7 @@
 		t.Errorf("the host does not serve %v after its view was complete, though no other host answers", joinTimeout+time.Second)
 	}
 	b := startNode(t, "b", 2, port)
-	joined := &gate{node: b, start: time.Now()}
+	joined := &gate{node: b, stop: grace.New(), start: time.Now()}
 	joined.completeAt.Store(int64(time.Hour)) // too late for the host to serve alone
 	b.AddAddress(netip.MustParseAddr("127.0.0.1"))
 	b.SendHeartbeat()
--- a/sardinegate/listen.go
+++ b/sardinegate/listen.go
@@ -36,7 +36,7 @@
 	s := g.settings
 	g.callerServer = &front.Server{Log: g.log, Handler: entry.New(entry.Deps{
 		DataCentre: s.DataCentre, Selector: g.broker, Sender: g.pool, Codec: platform.HeaderCodec{},
-		View: g.servingView, Recorder: collector, Log: g.log,
+		View: g.servingView, Stop: g.stop, Recorder: collector, Log: g.log,
 	})}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", collector)
@@ -75,7 +75,7 @@
 }
 
 // Ready implements platform.AddressSource. The host is ready once it may serve callers, until it shuts down.
-func (g *gate) Ready() bool { return g.mayServe() && !g.leaving.Load() }
+func (g *gate) Ready() bool { return g.mayServe() && !g.stop.Begun() }
 
 // mayServe reports whether the host knows a configuration and the list of upstreams, and what other hosts know beyond them. A
 // host that serves before it has heard from the others takes itself for the owner of every service, and uses upstreams of
--- a/sardinegate/stop.go
+++ b/sardinegate/stop.go
@@ -9,16 +9,8 @@
 	"sardinecross.example/platform"
 )
 
-const (
-	// settingsCheckInterval is the time between checks whether the settings file was modified, as it may change without
-	// a SIGHUP.
-	settingsCheckInterval = time.Second
-	// drainTime is the length of the last part of the grace period, in which no new connections are accepted and requests
-	// in flight may end. It includes exitMargin.
-	drainTime = 2 * time.Second
-	// exitMargin is the length of the last part of drainTime, in which the process stops its goroutines and exits.
-	exitMargin = 600 * time.Millisecond
-)
+// settingsCheckInterval is the time between checks whether the settings file was modified, as it may change without a SIGHUP.
+const settingsCheckInterval = time.Second
 
 // serve reloads the settings on SIGHUP or when their file was modified. Any other signal shuts the host down. While it shuts
 // down, signals change nothing: the platform kills a host that has to end sooner.
@@ -87,16 +79,15 @@
 	return g.settings.Grace, g.settings.MaxAddressLifetime
 }
 
-// shutdown removes the host from the directory, serves requests that still arrive until drainTime is left of the grace
-// period, lets requests in flight end, and stops everything. It cuts requests that are still in flight exitMargin before
-// the end of the grace period, so that the process ends within it.
+// shutdown removes the host from the directory, serves requests that still arrive and can be finished in time, lets requests in
+// flight end, and stops everything within the grace period; see grace.Period.
 func (g *gate) shutdown() {
-	grace, _ := g.reloadableLimits()
-	g.leaving.Store(true)
+	length, _ := g.reloadableLimits()
+	period := g.stop.Begin(time.Now(), length)
 	g.callerServer.DisableKeepAlives()
 	g.node.SendHeartbeat()
-	time.Sleep(grace - drainTime)
-	ctx, cancel := context.WithTimeout(context.Background(), drainTime-exitMargin)
+	time.Sleep(time.Until(period.AcceptUntil()))
+	ctx, cancel := context.WithDeadline(context.Background(), period.CutAt())
 	defer cancel()
 	if err := g.callerServer.Shutdown(ctx); err != nil {
 		g.log.Warn("requests cut at the end of the grace", "error", err)
@@ -106,6 +97,7 @@
 		_ = s.Close() // cuts requests of the platform and of other hosts, which need no answer any more
 	}
 	g.wg.Wait()
+	g.stop.Close()
 	g.watcher.Close()
 	g.broker.Close()
 	g.node.Close()
