front: Do not reset connections whose caller still sends

Callers lost answers that had been written, and requests that had arrived, because the connection was closed with input that nobody had read, which resets it: - A refusal, or any answer before the end of a long body, was followed by 300 ms of reading and then the close. A caller that went on sending got a broken pipe in place of the answer.

The sending side is closed first now. Input is discarded until the caller closes or pauses for a second, for 5 s at most. A connection counts as idle only if no input waits in the kernel. Shutdown says how many requests are left, so that the log no longer reports cut requests because a caller kept its connection open.

TestRefusalOfALongBodyArrives (broken pipe) and TestShutdownServesARequestThatIsNotReadYet (connection reset by peer) fail on the code before.

--- /dev/null
+++ b/sardinegate/front/close_test.go
@@ -0,0 +1,121 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards against a refusal that a caller loses because it is still sending: the connection is closed with unread input, which
+// resets it. The caller sends a long body, whole or in chunks, for longer than lingerTime and reads the response after that.
+func TestRefusalOfALongBodyArrives(t *testing.T) {
+	const pieces, size = 25, 64 << 10
+	piece := strings.Repeat("x", size)
+	for name, c := range map[string]struct{ framing, before, after, end string }{
+		"length":  {"Content-Length: " + strconv.Itoa(pieces*size), "", "", ""},
+		"chunked": {"Transfer-Encoding: chunked", strconv.FormatInt(size, 16) + "\r\n", "\r\n", "0\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, nc, br := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			})
+			writeString(t, nc, "POST / HTTP/1.1\r\nHost: a\r\n"+c.framing+"\r\n\r\n")
+			for range pieces {
+				time.Sleep(lingerTime / 20)
+				writeString(t, nc, c.before+piece+c.after)
+			}
+			writeString(t, nc, c.end)
+			resp := assertResponse(t, br, http.StatusServiceUnavailable, "")
+			if !resp.Close {
+				t.Error("the response does not announce the close of the connection")
+			}
+		})
+	}
+}
+
+// heldConn is a connection whose second read returns only once read is closed, as the reading goroutine of a busy host does.
+type heldConn struct {
+	*net.TCPConn
+	reads int
+	read  chan struct{}
+}
+
+func (c *heldConn) Read(p []byte) (int, error) {
+	if c.reads++; c.reads == 2 {
+		<-c.read
+	}
+	return c.TCPConn.Read(p)
+}
+
+// heldConnListener accepts connections as heldConns.
+type heldConnListener struct {
+	*net.TCPListener
+	read chan struct{}
+}
+
+func (l *heldConnListener) Accept() (net.Conn, error) {
+	nc, err := l.TCPListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &heldConn{TCPConn: nc.(*net.TCPConn), read: l.read}, nil
+}
+
+// Guards against a planned stop that takes a kept connection for idle while a whole request waits there to be read, and closes it
+// without an answer.
+func TestShutdownServesARequestThatIsNotReadYet(t *testing.T) {
+	tcp, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln := &heldConnListener{tcp.(*net.TCPListener), make(chan struct{})}
+	s := &Server{Handler: http.HandlerFunc(echo), Log: slog.New(slog.DiscardHandler)}
+	go func() { _ = s.Serve(ln) }()
+	defer s.Close()
+	nc := dial(t, ln.Addr().String())
+	br := bufio.NewReader(nc)
+	writeString(t, nc, getRequest("/1"))
+	assertResponse(t, br, 200, "/1")
+	writeString(t, nc, getRequest("/2"))
+	time.Sleep(20 * time.Millisecond) // lets the request arrive
+	wait := startShutdown(t, s)
+	time.Sleep(3 * pollInterval)
+	close(ln.read)
+	assertResponse(t, br, 200, "/2")
+	wait()
+}
+
+// Guards against a log line that says that requests were cut when there were none: a caller only keeps its connection open.
+func TestShutdownReportsRequestsThatAreLeft(t *testing.T) {
+	for name, want := range map[string]int{"/": 0, "/hang": 1} {
+		t.Run(name, func(t *testing.T) {
+			begun := make(chan struct{})
+			s, nc, br := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/hang" {
+					close(begun)
+					<-r.Context().Done()
+				}
+			})
+			writeString(t, nc, getRequest(name))
+			if want == 0 {
+				assertResponse(t, br, 200, "")
+			} else {
+				<-begun
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			err := s.Shutdown(ctx)
+			var cut *CutError
+			if errors.As(err, &cut) != (want > 0) || cut != nil && cut.Requests != want {
+				t.Errorf("Shutdown returned %v, want %d requests left", err, want)
+			}
+		})
+	}
+}
--- a/sardinegate/front/conn.go
+++ b/sardinegate/front/conn.go
@@ -18,8 +18,10 @@
 	// readBufferSize and writeBufferSize are the buffer sizes of one connection, in bytes.
 	readBufferSize  = 4 << 10
 	writeBufferSize = 4 << 10
-	// lingerTime is how long the server reads and discards input after the last response of a connection.
-	lingerTime = 300 * time.Millisecond
+	// lingerTime is how long the server waits for further input after the last response of a connection, to discard it.
+	// maxLinger bounds how long it goes on discarding.
+	lingerTime = time.Second
+	maxLinger  = 5 * time.Second
 )
 
 // conn is a caller's connection. One goroutine reads its requests and starts a goroutine for each request whose body is
@@ -64,18 +66,31 @@
 	_ = c.nc.Close() // the connection is no longer used
 }
 
-// closeIdle closes the connection if every request has a complete response and none has begun to arrive. One without any
-// request yet is closed once firstRequestTime has passed.
+// closeIdle ends the sending side of the connection if every request has a complete response and none has begun to arrive. One
+// without any request yet is closed once firstRequestTime has passed.
 func (c *conn) closeIdle(now time.Time) {
 	c.mu.Lock()
-	idle := c.incomplete == 0 && !c.receiving && (c.newest != nil || now.Sub(c.accepted) > firstRequestTime)
+	idle := c.incomplete == 0 && !c.receiving && !c.closing && (c.newest != nil || now.Sub(c.accepted) > firstRequestTime) && !hasInput(c.nc)
 	if idle {
 		c.closing = true
 	}
 	c.mu.Unlock()
 	if idle {
+		_ = c.endSending() // an error means that the caller has closed the connection
+	}
+}
+
+// endSending closes the sending side of the connection and makes the reading goroutine wait for the caller to close the other
+// side, within lingerTime. It returns an error if the connection has no sides or is closed.
+func (c *conn) endSending() error {
+	half, ok := c.nc.(interface{ CloseWrite() error })
+	if !ok {
 		c.abort()
+		return net.ErrClosed
 	}
+	err := half.CloseWrite()
+	c.setIdleDeadline()
+	return err
 }
 
 // beginReceiving records that a request has begun to arrive. It returns false if the connection is closing.
@@ -94,15 +109,19 @@
 	c.abort()
 }
 
-// linger closes the sending side and discards input for lingerTime, so that the last response arrives.
-// Closing a connection with unread input would reset it, and the caller could lose the response.
+// linger closes the sending side and discards input until the caller closes the other side, pauses for lingerTime, or has sent for
+// maxLinger. Closing a connection with unread input would reset it, and the caller could lose the last response.
 func (c *conn) linger() {
-	tcp, ok := c.nc.(*net.TCPConn)
-	if !ok || c.ctx.Err() != nil || tcp.CloseWrite() != nil {
+	if c.ctx.Err() != nil || c.endSending() != nil {
 		return
 	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime)) // fails only on a closed connection
-	_, _ = io.Copy(io.Discard, c.nc)                     // returns at the deadline or when the caller closes
+	discarded := make([]byte, readBufferSize)
+	for end := time.Now().Add(maxLinger); time.Now().Before(end); {
+		_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime)) // fails only on a closed connection
+		if _, err := c.nc.Read(discarded); err != nil {
+			return
+		}
+	}
 }
 
 // setIdleDeadline sets the read deadline by which the next request has to begin.
@@ -122,9 +141,7 @@
 	for {
 		c.setIdleDeadline()
 		if _, err := c.br.Peek(1); err != nil {
-			if !c.lastResponseSent() {
-				c.cancel()
-			}
+			c.inputEnded()
 			return
 		}
 		if !c.beginReceiving() {
@@ -149,11 +166,24 @@
 	}
 }
 
-// lastResponseSent reports whether the connection is closing and all its responses are complete.
-func (c *conn) lastResponseSent() bool {
+// inputEnded closes the connection once its last response was sent, as no input is left that could reset it. Before that, it
+// cancels the requests of the connection.
+func (c *conn) inputEnded() {
+	c.mu.Lock()
+	lastSent := c.closing && c.incomplete == 0
+	c.mu.Unlock()
+	if lastSent {
+		c.abort()
+		return
+	}
+	c.cancel()
+}
+
+// requestsLeft returns the number of requests without a complete response.
+func (c *conn) requestsLeft() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closing && c.incomplete == 0
+	return c.incomplete
 }
 
 // rejectRequest answers input that is not a valid request, after the responses to earlier requests. If the input ended
--- a/sardinegate/front/exchange.go
+++ b/sardinegate/front/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -178,10 +177,7 @@
 	close(x.done)
 	<-x.c.pipelined
 	if end {
-		if tcp, ok := x.c.nc.(*net.TCPConn); ok {
-			_ = tcp.CloseWrite() // fails only on a closed connection
-		}
-		x.c.setIdleDeadline()
+		_ = x.c.endSending() // an error means that the caller has closed the connection
 	}
 }
 
--- a/sardinegate/front/server.go
+++ b/sardinegate/front/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -147,8 +148,17 @@
 // start after the call.
 func (s *Server) DisableKeepAlives() { s.keepAlivesDisabled.Store(true) }
 
+// CutError reports that requests had no complete response at the end of a shutdown.
+type CutError struct{ Requests int }
+
+// Error implements error.
+func (e *CutError) Error() string {
+	return fmt.Sprintf("%d requests without a complete response", e.Requests)
+}
+
 // Shutdown accepts the connections that wait for it, and then no more. It serves requests that have begun to arrive and the
-// first request of a connection that was just accepted, closes idle connections, and waits until all have closed or ctx ends.
+// first request of a connection that was just accepted, closes idle connections, and waits until all have closed or ctx ends. It
+// returns a CutError if requests are left at the end of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.DisableKeepAlives()
 	s.mu.Lock()
@@ -160,23 +170,41 @@
 	t := time.NewTicker(pollInterval)
 	defer t.Stop()
 	for {
-		s.mu.Lock()
-		left := s.accepting + len(s.conns)
-		for c := range s.conns {
-			c.closeIdle(time.Now())
-		}
-		s.mu.Unlock()
-		if left == 0 {
+		if s.closeIdleConns() == 0 {
 			return nil
 		}
 		select {
 		case <-t.C:
 		case <-ctx.Done():
-			return ctx.Err()
+			if n := s.requestsLeft(); n > 0 {
+				return &CutError{n}
+			}
+			return nil
 		}
 	}
 }
 
+// closeIdleConns closes idle connections and returns how many connections and listeners are left.
+func (s *Server) closeIdleConns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.closeIdle(time.Now())
+	}
+	return s.accepting + len(s.conns)
+}
+
+// requestsLeft returns the number of requests without a complete response.
+func (s *Server) requestsLeft() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.conns {
+		n += c.requestsLeft()
+	}
+	return n
+}
+
 // endAccepting makes Serve accept the connections that wait and return. A listener without deadlines is closed.
 func endAccepting(ln net.Listener) {
 	l, ok := ln.(deadlineListener)
