--- a/sardinegate/front/shutdown_test.go
+++ b/sardinegate/front/shutdown_test.go
@@ -82,6 +82,40 @@
 	}
 }
 
+// stalledListener is a listener whose process gets no processor for a while after the deadline of its last accepts was set.
+type stalledListener struct {
+	*heldListener
+	stalls int
+}
+
+func (l *stalledListener) SetDeadline(t time.Time) error {
+	err := l.heldListener.SetDeadline(t)
+	if l.stalls > 0 && t.After(time.Now()) {
+		l.stalls--
+		time.Sleep(time.Until(t) + 2*lastAcceptWait)
+	}
+	return err
+}
+
+// Guards against a planned stop that resets the connections that wait to be accepted because the host, which is busy, did not get
+// to accept them within lastAcceptWait.
+func TestShutdownOfABusyHostServesConnectionsThatWait(t *testing.T) {
+	tcp, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln := &stalledListener{&heldListener{tcp.(*net.TCPListener), make(chan struct{})}, 3}
+	s := &Server{Handler: http.HandlerFunc(echo), Log: slog.New(slog.DiscardHandler)}
+	go func() { _ = s.Serve(ln) }()
+	defer s.Close()
+	nc := dial(t, ln.Addr().String())
+	writeString(t, nc, getRequest("/1"))
+	wait := startShutdown(t, s)
+	close(ln.accept)
+	assertResponse(t, bufio.NewReader(nc), 200, "/1")
+	wait()
+}
+
 // Guards against a planned stop that closes a connection whose first request is on its way, or has arrived in part.
 func TestShutdownServesRequestsOnTheirWay(t *testing.T) {
 	for name, sent := range map[string]int{"nothing sent": 0, "head begun": 10, "body begun": len("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\na")} {
