front: Do not cancel requests when their caller sends nothing more for 90 s

It ends the connection only if no request waits for its response now. Whether a caller has left is still seen at once, as its end of the connection ends the read.

TestIdleTimeoutDoesNotEndRequests: unexpected EOF before, answered now.

--- a/sardinegate/front/close_test.go
+++ b/sardinegate/front/close_test.go
@@ -119,3 +119,27 @@
 		})
 	}
 }
+
+// Guards against a request that is cancelled because its caller has sent nothing more for idleTimeout while it waits for the
+// response.
+func TestIdleTimeoutDoesNotEndRequests(t *testing.T) {
+	begun, proceed := make(chan struct{}), make(chan struct{})
+	s, nc, br := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		close(begun)
+		select {
+		case <-proceed:
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	})
+	writeString(t, nc, getRequest("/"))
+	<-begun
+	s.mu.Lock()
+	for c := range s.conns {
+		_ = c.nc.SetReadDeadline(time.Now()) // the end of idleTimeout
+	}
+	s.mu.Unlock()
+	time.Sleep(50 * time.Millisecond) // lets the reading goroutine notice it
+	close(proceed)
+	assertResponse(t, br, http.StatusOK, "")
+}
--- a/sardinegate/front/conn.go
+++ b/sardinegate/front/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -141,6 +142,9 @@
 	for {
 		c.setIdleDeadline()
 		if _, err := c.br.Peek(1); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) && c.requestsLeft() > 0 {
+				continue // the caller waits for its responses
+			}
 			c.inputEnded()
 			return
 		}
