front: End the reading of a long body when its handler has returned

A body with a length did not panic, but the byte that was read there was missing where the rest of the body was due.

That byte was of no use: a connection always closes after such a request. A longBody is the only way to such a body now. When the handler has returned, end makes further reads fail, interrupts one that waits and waits for it, before the response is complete and the input is discarded; so one goroutine reads the connection at a time. Other places that share a reader were looked for: the pool reads a body in one goroutine only, and a request with a long body is neither retried nor hedged.

--- /dev/null
+++ b/sardinegate/front/body_test.go
@@ -0,0 +1,44 @@
+package front
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Guards against a long upload that ends the process: the handler answers before the end of the body is in, while a goroutine that
+// it started, as one that sends the body to an upstream does, still waits for the rest. When the end came, two goroutines read
+// the body at once.
+func TestEarlyAnswerToALongUpload(t *testing.T) {
+	for name, c := range map[string]struct{ framing, before, after, end string }{
+		"length":  {"Content-Length: " + strconv.Itoa(maxBufferedBody+100), "", "", strings.Repeat("x", 100)},
+		"chunked": {"Transfer-Encoding: chunked", strconv.FormatInt(maxBufferedBody, 16) + "\r\n", "\r\n", "0\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var readers sync.WaitGroup
+			readErr := make(chan error, 1)
+			_, nc, br := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.CopyN(io.Discard, r.Body, maxBufferedBody)
+				readers.Go(func() {
+					_, err := io.Copy(io.Discard, r.Body)
+					readErr <- err
+				})
+				time.Sleep(20 * time.Millisecond) // lets the goroutine wait for the rest
+				w.WriteHeader(http.StatusServiceUnavailable)
+			})
+			writeString(t, nc, "POST / HTTP/1.1\r\nHost: a\r\n"+c.framing+"\r\n\r\n"+c.before+strings.Repeat("x", maxBufferedBody)+c.after)
+			assertResponse(t, br, http.StatusServiceUnavailable, "")
+			writeString(t, nc, c.end)
+			assertClosed(t, br)
+			readers.Wait()
+			if err := <-readErr; err == nil || errors.Is(err, io.EOF) {
+				t.Errorf("the read after the handler had returned ended with %v, want an error", err)
+			}
+		})
+	}
+}
--- a/sardinegate/front/conn.go
+++ b/sardinegate/front/conn.go
@@ -221,19 +221,16 @@
 		x.finish()
 		return false
 	}
-	long, err := c.readBody(r, x)
-	if err != nil {
+	if err := c.readBody(r, x); err != nil {
 		c.abort()
 		x.finish()
 		return false
 	}
 	x.r = r.WithContext(c.ctx)
 	c.handlers.Add(1)
-	if long {
-		// The next request can be read only after this body, so the handler runs in the reading goroutine.
-		c.runHandler(x)
-		_, err := io.CopyN(io.Discard, r.Body, 1)
-		return errors.Is(err, io.EOF) && !x.closeAfter
+	if x.longBody != nil {
+		c.runHandler(x) // in the reading goroutine, since the handler reads from the connection
+		return false
 	}
 	go c.runHandler(x)
 	return !x.closeAfter
@@ -254,37 +251,39 @@
 		x.aborted = true
 		c.abort()
 	}()
+	if x.longBody != nil {
+		defer x.longBody.end()
+	}
 	c.server.Handler.ServeHTTP(x, x.r)
 }
 
-// readBody buffers a body of less than maxBufferedBody bytes. For any other body it returns true; the handler then reads
-// the body from the connection, which closes after the response.
-func (c *conn) readBody(r *http.Request, x *exchange) (long bool, err error) {
+// readBody buffers a body of less than maxBufferedBody bytes. Any other body becomes a longBody; the handler then reads it from
+// the connection, which closes after the response.
+func (c *conn) readBody(r *http.Request, x *exchange) error {
 	if r.ContentLength == 0 {
-		return false, nil
+		return nil
 	}
 	if r.Header.Get("Expect") != "" {
 		if err := x.sendContinue(); err != nil {
-			return false, err
+			return err
 		}
 	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(bodyTimeout)) // fails only on a closed connection
 	if r.ContentLength > maxBufferedBody {
-		x.closeAfter = true
-		return true, nil
+		x.setLongBody(r.Body)
+		return nil
 	}
 	var buf bytes.Buffer
 	n, err := io.Copy(&buf, io.LimitReader(r.Body, maxBufferedBody))
 	if err != nil {
-		return false, err
+		return err
 	}
 	if n == maxBufferedBody {
-		x.closeAfter = true
-		r.Body = io.NopCloser(io.MultiReader(&buf, r.Body))
-		return true, nil
+		x.setLongBody(io.MultiReader(&buf, r.Body))
+		return nil
 	}
 	r.ContentLength = n
 	r.TransferEncoding = nil
 	r.Body = io.NopCloser(&buf)
-	return false, nil
+	return nil
 }
--- a/sardinegate/front/exchange.go
+++ b/sardinegate/front/exchange.go
@@ -17,6 +17,8 @@
 	previousDone, done chan struct{}
 	// closeAfter is set if the connection closes after this response.
 	closeAfter bool
+	// longBody is the body of the request if it is not buffered, else nil.
+	longBody *longBody
 
 	status        int
 	headerWritten bool // the status line and the header were written
@@ -47,6 +49,13 @@
 	return x
 }
 
+// setLongBody makes body, which is read from the connection, the body of the request. The connection closes after the response.
+func (x *exchange) setLongBody(body io.Reader) {
+	x.longBody = &longBody{nc: x.c.nc, rest: body}
+	x.closeAfter = true
+	x.r.Body = x.longBody
+}
+
 // sendContinue sends 100 (Continue) to a caller that awaits it before it sends the body.
 func (x *exchange) sendContinue() error {
 	if err := x.awaitPrevious(); err != nil {
