front: Write one response at a time also when the caller has left

No bytes reached a caller, but a panic there would have ended the process.

Cause: a response that cannot start, since the connection is aborted, ended without waiting for the one before, and its end let the one after it start. finish waits for the previous response now. It cannot wait for long: all requests of the connection are cancelled and its writes fail.

--- a/sardinegate/front/close_test.go
+++ b/sardinegate/front/close_test.go
@@ -143,3 +143,27 @@
 	close(proceed)
 	assertResponse(t, br, http.StatusOK, "")
 }
+
+// Guards against two responses that are written to one connection at once, which the race detector reports: a caller leaves while the
+// first of three pipelined responses is being written. The second one cannot start, and its end must not let the third one start.
+func TestOneResponseIsWrittenAtATimeWhenTheCallerLeaves(t *testing.T) {
+	writing := make(chan struct{})
+	_, nc, _ := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/1" {
+			_, _ = w.Write([]byte("begun"))
+			close(writing)
+			<-r.Context().Done()
+			for range 1000 {
+				_, _ = w.Write([]byte("x"))
+			}
+			return
+		}
+		<-r.Context().Done()
+		for range 1000 {
+			_, _ = w.Write([]byte("x"))
+		}
+	})
+	writeString(t, nc, getRequest("/1")+getRequest("/2")+getRequest("/3")+getRequest("/4"))
+	<-writing
+	_ = nc.Close()
+}
--- a/sardinegate/front/exchange.go
+++ b/sardinegate/front/exchange.go
@@ -168,7 +168,8 @@
 	return err
 }
 
-// finish completes the response and lets the next response start.
+// finish completes the response and lets the next response start. It waits for the previous one also on an aborted connection, so
+// that only one goroutine writes to it at a time.
 func (x *exchange) finish() {
 	x.WriteHeader(http.StatusOK)
 	if !x.aborted {
@@ -179,6 +180,7 @@
 			x.c.abort()
 		}
 	}
+	<-x.previousDone
 	x.c.mu.Lock()
 	x.c.incomplete--
 	end := x.closeAfter
