--- a/proofs/reports_test.go
+++ b/proofs/reports_test.go
@@ -347,6 +347,56 @@
 	s.waitReady()
 }
 
+// Guards against hosts that end, stop following the list of upstreams or fill their logs because another writer has left odd entries
+// there: nested deeply, with a number too large, or with a port out of range.
+func TestGateOddEntries(t *testing.T) {
+	s := newGateSite(t, 2)
+	deep := strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000)
+	digits := strings.Repeat("9", 200_000)
+	const entry = `{"service":"enquiry","addr":"127.0.0.1:1","zone":"passau","slots":1,"state":"ready","seq":1,"cold-left-s":0}`
+	odd := make(map[string]string)
+	for name, change := range map[string][2]string{
+		"nested": {`"slots":1`, `"slots":` + deep}, "nestedExtra": {`"seq":1`, `"seq":1,"x":` + deep}, "digits": {`"slots":1`, `"slots":` + digits},
+		"seq": {`"seq":1`, `"seq":9223372036854775808`}, "time": {`"cold-left-s":0`, `"cold-left-s":1e999`},
+		"port": {"127.0.0.1:1", "127.0.0.1:99999"}, "portDigits": {"127.0.0.1:1", "127.0.0.1:" + digits}, "zone": {`"passau"`, `"` + digits + `"`},
+	} {
+		odd[name] = strings.Replace(entry, change[0], change[1], 1)
+	}
+	l := s.startLoad(8)
+	for range 3 {
+		s.sendCommand(map[string]any{"Put": odd})
+		time.Sleep(500 * time.Millisecond)
+	}
+	s.killHost(s.hosts[0])
+	s.startHost(s.hosts[0]) // it reads the newest record of each key
+	s.waitReady()
+	drained := s.platformStats().Upstreams[users.OrderService+"/passau"][0]
+	s.sendCommand(map[string]any{"Drain": drained})
+	since := time.Now()
+	time.Sleep(3 * time.Second)
+	answers := l.stop()
+	seen := s.platformStats()
+	assertInvariants(t, answers, seen)
+	assertServed(t, answers, 0.9) // the killed host cuts requests
+	assertNoRunsAfter(t, seen, since.Add(2*time.Second), func(r server.Run) bool { return r.Upstream == drained })
+	for _, h := range s.hosts {
+		select {
+		case <-h.Done:
+			t.Errorf("host %s has ended", h.ID)
+		default:
+		}
+		out, _ := os.ReadFile(h.Output.Name())
+		for line := range strings.Lines(string(out)) {
+			if len(line) > maxLogLine {
+				t.Errorf("host %s has written a line of %d bytes: %.200s", h.ID, len(line), line)
+			}
+		}
+	}
+}
+
+// maxLogLine is the length in bytes that no log line exceeds, whatever others write.
+const maxLogLine = 16 << 10
+
 // Guards against orders that run twice, or are refused as not run and run, around hand-overs between hosts: the owners of the
 // services change because hosts die and freeze while orders are sent and some answers are lost, and two owners act for a moment.
 func TestGateOwnersChange(t *testing.T) {
