--- a/proofs/stopload_test.go
+++ b/proofs/stopload_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -195,19 +196,25 @@
 	}
 }
 
+// stopSeeds is the number of seeds that TestGateStopLosesNoRequest plays.
+var stopSeeds = flag.Uint64("stopSeeds", 1, "number of seeds of the load beside a stop")
+
 // Guards against requests that lose their answer because their host is stopped: callers go on sending on new and kept
-// connections, pipelined and with bodies in chunks, to upstreams some of which take longer than the grace.
+// connections, pipelined and with bodies in chunks, to upstreams some of which take longer than the grace. Signals follow.
 func TestGateStopLosesNoRequest(t *testing.T) {
-	for _, timeout := range []time.Duration{1500 * time.Millisecond, 4 * time.Second} {
-		t.Run(timeout.String(), func(t *testing.T) {
-			t.Parallel()
-			s := newGateSite(t, 2)
-			s.sendCommand(map[string]any{"TimeoutMS": timeout.Milliseconds()})
-			time.Sleep(2 * time.Second) // until the timeout is in force
-			h := s.hosts[0]
-			calls, stopped := stopBesideLoad(t, s, h, s.startStopLoad(h, 1, 6))
-			assertNoneLost(t, calls, s.platformStats(), stopped, timeout)
-			assertSomeServed(t, calls, stopped)
-		})
+	for seed := range *stopSeeds {
+		for _, timeout := range []time.Duration{1500 * time.Millisecond, 4 * time.Second} {
+			t.Run(fmt.Sprintf("seed %d, timeout %v", seed, timeout), func(t *testing.T) {
+				t.Parallel()
+				s := newGateSite(t, 2)
+				s.sendCommand(map[string]any{"TimeoutMS": timeout.Milliseconds()})
+				time.Sleep(2 * time.Second) // until the timeout is in force
+				h := s.hosts[seed%uint64(len(s.hosts))]
+				further := []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP}
+				calls, stopped := stopBesideLoad(t, s, h, s.startStopLoad(h, seed, 6), further...)
+				assertNoneLost(t, calls, s.platformStats(), stopped, timeout)
+				assertSomeServed(t, calls, stopped)
+			})
+		}
 	}
 }
--- a/sardinegate/entry/entry.go
+++ b/sardinegate/entry/entry.go
@@ -118,7 +118,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	defer context.AfterFunc(h.deps.Stop.Context(), cancel)()
+	detach := context.AfterFunc(h.deps.Stop.Context(), cancel)
+	defer detach()
 	if o := h.readBody(c); o != nil {
 		h.respond(w, c, o)
 		return
--- a/sardinegate/main.go
+++ b/sardinegate/main.go
@@ -41,6 +41,10 @@
 		flags.Usage()
 		return prog.ExitUsage
 	}
+	// A signal that comes during the start waits until the host serves; without this, a SIGHUP would end the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	settings, err := platform.LoadSettings(*path)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, "sardinegate:", err)
@@ -51,9 +55,6 @@
 		return prog.ExitOK
 	}
 	debug.SetGCPercent(gcPercent)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	g, err := newGate(settings, *path, stdout, *quiet)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, "sardinegate:", err)
