grant, mesh, broker: Share the slack of the retry budget between owners that are cut off

Each of 17 hosts was the owner of each service and took 65% of the slack for itself.

The part in proportion to requests holds in any cut, as one owner counts each request; the slack does not.

An owner takes the slack in proportion to the hosts that it hears, of those that may be running: heard in the last 60 s and not about to stop when they fell silent. The shares of groups that are cut off from each other add up to 1. Hosts that are gone for good hold back their part for a minute. The same count bounds what hosts use without the owner; the hosts alive did before, and that is 1 on a host that is cut off.

--- a/lib/grant/grant_test.go
+++ b/lib/grant/grant_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -258,6 +259,49 @@
 	}
 }
 
+// Guards against more retries than the budget allows while hosts are cut off from each other: in each group, one host is the owner
+// of the service.
+func TestRetryBudgetOfHostsThatAreCutOff(t *testing.T) {
+	const hosts = 17
+	for name, groups := range map[string][]int{
+		"each alone":    slices.Repeat([]int{1}, hosts),
+		"two halves":    {8, 9},
+		"three groups":  {2, 5, 10},
+		"some vanished": {11},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := settings()
+			cfg.RetrySlack = 62
+			var us []fleet.Upstream
+			for i := range 100 {
+				us = append(us, upstreamIn(fmt.Sprint(i), passau))
+			}
+			requests, retries := 0, 0
+			for _, reached := range groups {
+				s := New(cfg)
+				s.SetHosts(hosts, reached)
+				s.Update(0, view(t, us...))
+				for now := time.Duration(0); now < cfg.RetryWindow; now += 500 * time.Millisecond {
+					for i := range 12 {
+						req := newRequest()
+						req.CountsAsRetry = i > 0
+						g := s.Decide(now, 0.5, req)
+						s.EndAttempt(now, AttemptEnd{ID: req.ID, Upstream: g.Upstream, Outcome: Abandoned})
+						if !req.CountsAsRetry {
+							requests++
+						} else if g.Upstream != "" {
+							retries++
+						}
+					}
+				}
+			}
+			if most := cfg.RetryRatio*float64(requests) + cfg.RetrySlack; float64(retries) > most || retries == 0 {
+				t.Errorf("%d retries of %d requests within a window, want some, at most %g", retries, requests, most)
+			}
+		})
+	}
+}
+
 // Guards against hedges that would not end earlier than the first attempt.
 func TestHedgeIsRefusedUnlessFaster(t *testing.T) {
 	s := newState(t, upstreamIn("a", passau), upstreamIn("b", passau))
--- a/lib/grant/pick.go
+++ b/lib/grant/pick.go
@@ -87,7 +87,7 @@
 
 // takeRetry takes a retry from the budget b and reports whether there was one left.
 func (s *State) takeRetry(now time.Duration, b *retryBudget, withoutOwner bool) bool {
-	ratio, slack := s.cfg.RetryRatio*ownerRetryShare, s.cfg.RetrySlack*ownerRetryShare
+	ratio, slack := s.cfg.RetryRatio*ownerRetryShare, s.cfg.RetrySlack*ownerRetryShare*s.reachedShare()
 	if withoutOwner {
 		ratio = s.cfg.RetryRatio * ownerlessRetryShare
 		slack = s.cfg.RetrySlack * ownerlessRetryShare / float64(max(s.cfg.Hosts, 1))
--- a/lib/grant/settings.go
+++ b/lib/grant/settings.go
@@ -11,8 +11,9 @@
 	// retries and hedges in any RetryWindow.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
-	// Hosts is the number of hosts that may decide without the owner.
-	Hosts int
+	// Hosts is the number of hosts that may decide without the owner or, while they are cut off from each other, as owners.
+	// Reached is how many of them this host hears, itself included; 0 means all.
+	Hosts, Reached int
 	// CrossDataCentreCost is added to the expected response time of an upstream in another data centre, as a share of
 	// the average response time of the service.
 	CrossDataCentreCost float64
--- a/lib/grant/state.go
+++ b/lib/grant/state.go
@@ -34,8 +34,20 @@
 	return &State{cfg: cfg, services: make(map[string]*service), byID: make(map[string]*upstream), notices: notice.New()}
 }
 
-// SetHosts sets the number of hosts that share the part of the retry budget for decisions without the owner.
-func (s *State) SetHosts(n int) { s.cfg.Hosts = max(n, 1) }
+// SetHosts sets how many hosts share the retry budget, and how many of them this host hears; see Settings.
+func (s *State) SetHosts(hosts, reached int) {
+	s.cfg.Hosts = max(hosts, reached, 1)
+	s.cfg.Reached = max(reached, 1)
+}
+
+// reachedShare returns the share of the hosts that this host hears. The shares of groups of hosts that are cut off from each
+// other, each with an owner of its own, add up to 1.
+func (s *State) reachedShare() float64 {
+	if s.cfg.Reached <= 0 {
+		return 1
+	}
+	return float64(s.cfg.Reached) / float64(max(s.cfg.Hosts, s.cfg.Reached))
+}
 
 // SetRetryBudget sets the retry budget that all hosts share; see Settings.
 func (s *State) SetRetryBudget(ratio, slack float64, window time.Duration) {
--- a/sardinegate/broker/broker.go
+++ b/sardinegate/broker/broker.go
@@ -112,6 +112,7 @@
 			case <-t.C:
 				b.mu.Lock()
 				b.state.Expire(b.now())
+				b.state.SetHosts(b.deps.Node.Reach())
 				b.mu.Unlock()
 			case <-ctx.Done():
 				return
@@ -134,7 +135,7 @@
 func (b *Broker) Update(v *fleet.View) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.state.SetHosts(len(b.deps.Node.Alive()) + 1)
+	b.state.SetHosts(b.deps.Node.Reach())
 	b.state.Update(b.now(), v)
 }
 
--- a/sardinegate/mesh/member.go
+++ b/sardinegate/mesh/member.go
@@ -103,5 +103,23 @@
 	return alive
 }
 
+// Reach returns the number of hosts that may be running, and how many of them are alive, both with this host. A host may be running
+// if it was heard within forgetAfter, unless it was about to stop when it fell silent.
+func (n *Node) Reach() (known, alive int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	known, alive = 1, 1
+	for _, m := range n.members {
+		switch {
+		case n.alive(m):
+			known++
+			alive++
+		case !m.Leaving:
+			known++
+		}
+	}
+	return known, alive
+}
+
 // Address returns the address at which the member receives messages and requests of other hosts.
 func (m *Member) Address() netip.AddrPort { return m.addr }
