sardined: Ignore SIGHUP

A SIGHUP ended the daemon at once and cut every request that it had. Nothing is to be done for it, as keys are loaded again when their files change and settings need a restart.

TestPlannedStopFailsNoRequests sends it to each host before and after SIGTERM now.

--- a/proofs/operate_test.go
+++ b/proofs/operate_test.go
@@ -300,7 +300,8 @@
 }
 
 // TestPlannedStopFailsNoRequests guards against requests that fail or are refused because a host is stopped as planned. The
-// callers respect the lifetime of the addresses that they get, and every host is replaced in turn.
+// callers respect the lifetime of the addresses that they get, and every host is replaced in turn. Before and after it is told to
+// stop, a host gets a SIGHUP, as operators send it to programs whose files have changed.
 func TestPlannedStopFailsNoRequests(t *testing.T) {
 	t.Parallel()
 	recordVerdict(t, gracefulShutdown, "one host stopped under load", "rolling replacement of every host")
@@ -317,8 +318,12 @@
 	tr.codes = map[string]int{}
 	tr.mu.Unlock()
 	for _, h := range s.Hosts {
+		h.Signal(syscall.SIGHUP)
+		site.Sleep(100 * time.Millisecond)
 		s.ExpectedDown[h.ID] = true
 		h.Signal(syscall.SIGTERM)
+		site.Sleep(200 * time.Millisecond)
+		h.Signal(syscall.SIGHUP)
 		<-h.Done
 		s.Start(h)
 		s.Wait(h.ID+" to be back", func() bool {
--- a/sardined/main.go
+++ b/sardined/main.go
@@ -38,6 +38,8 @@
 		_, _ = fmt.Fprintln(stderr, err)
 		return prog.ExitUsage
 	}
+	// Keys are loaded again when their files change, so that a hangup asks for nothing. Without this, it would end the process.
+	signal.Ignore(syscall.SIGHUP)
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(stop)
