proofs: Upload long orders to a host that is being stopped

A further kind of caller in TestGateStopLosesNoRequest: orders of 400 KiB in chunks, refused or served before the end of the body is in.

--- a/proofs/stop_test.go
+++ b/proofs/stop_test.go
@@ -33,6 +33,7 @@
 type stopCall struct {
 	id          string
 	order       bool
+	body        string // of an order
 	work, limit time.Duration
 	begun       time.Time
 	// sent is when the last byte was written; the zero time if the request was not written whole.
@@ -87,14 +88,14 @@
 	return "/enquiry/item"
 }
 
-// orderText is the body of all orders.
+// orderText is the body of orders that are no uploads.
 const orderText = "one order of three lines"
 
 // send writes the request, an order with the length of its body.
 func (c *stopCall) send(nc net.Conn) error {
 	text := c.head()
 	if c.order {
-		text += fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(orderText), orderText)
+		text += fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(c.body), c.body)
 	} else {
 		text += "\r\n"
 	}
@@ -134,12 +135,8 @@
 		c.fail(err)
 		return false
 	}
-	n := 0
-	if c.order {
-		n = len(orderText)
-	}
 	c.ended, c.status = time.Now(), resp.StatusCode
-	c.signed = resp.Header.Get("Response-Signature") == server.Signature(c.id) && string(body) == server.Body(c.id, c.target(), n)
+	c.signed = resp.Header.Get("Response-Signature") == server.Signature(c.id) && string(body) == server.Body(c.id, c.target(), len(c.body))
 	return !resp.Close
 }
 
@@ -261,7 +258,7 @@
 		return
 	}
 	defer nc.Close()
-	c := l.addCall(&stopCall{order: true, work: work, limit: 12 * time.Second})
+	c := l.addCall(&stopCall{order: true, body: orderText, work: work, limit: 12 * time.Second})
 	if c.send(nc) == nil {
 		c.receive(nc, bufio.NewReader(nc))
 	}
--- a/proofs/stopload_test.go
+++ b/proofs/stopload_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -20,7 +21,7 @@
 // startStopLoad starts callers of each kind. They end when the host refuses a connection.
 func (s *gateSite) startStopLoad(h *gateHost, seed uint64, callersEach int) *stopLoad {
 	l := &stopLoad{s: s, h: h}
-	for i, run := range []func(*rand.Rand){l.callOnNewConnections, l.callOnKeptConnections, l.callInChunks, l.callPipelined} {
+	for i, run := range []func(*rand.Rand){l.callOnNewConnections, l.callOnKeptConnections, l.callInChunks, l.callPipelined, l.upload} {
 		for j := range callersEach {
 			rng := rand.New(rand.NewPCG(seed, uint64(i*callersEach+j)))
 			l.wg.Go(func() { run(rng) })
@@ -44,7 +45,11 @@
 		work = 8 * time.Second // more than the grace
 	}
 	limits := []time.Duration{time.Second, 3 * time.Second, 12 * time.Second}
-	return l.addCall(&stopCall{order: order, work: work, limit: limits[rng.IntN(len(limits))]})
+	c := &stopCall{order: order, work: work, limit: limits[rng.IntN(len(limits))]}
+	if order {
+		c.body = orderText
+	}
+	return l.addCall(c)
 }
 
 // callOnNewConnections sends each request on a connection of its own, some of them a while after it was opened.
@@ -77,22 +82,36 @@
 		br := bufio.NewReader(nc)
 		for kept := true; kept; {
 			c := l.newCall(rng, true)
-			kept = c.sendChunks(nc, rng) == nil && c.receive(nc, br)
+			kept = c.sendChunks(nc, rng, 10) == nil && c.receive(nc, br)
 		}
 		_ = nc.Close()
 	}
 }
 
-// sendChunks writes an order with its body in chunks.
-func (c *stopCall) sendChunks(nc net.Conn, rng *rand.Rand) error {
+// upload sends orders in chunks that are too long to be buffered, each on a connection of its own.
+func (l *stopLoad) upload(rng *rand.Rand) {
+	text := strings.Repeat(orderText, 400<<10/len(orderText))
+	for nc := l.dial(); nc != nil; nc = l.dial() {
+		c := l.newCall(rng, true)
+		c.body = text
+		// A host that has refused the upload may close the connection before its end, so the response is read in any case.
+		_ = c.sendChunks(nc, rng, 100<<10)
+		c.receive(nc, bufio.NewReader(nc))
+		_ = nc.Close()
+		time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+	}
+}
+
+// sendChunks writes an order with its body in chunks of up to size bytes.
+func (c *stopCall) sendChunks(nc net.Conn, rng *rand.Rand, size int) error {
 	c.begin()
 	if _, err := io.WriteString(nc, c.head()+"Transfer-Encoding: chunked\r\n\r\n"); err != nil {
 		c.fail(err)
 		return err
 	}
-	for rest := orderText; rest != ""; {
+	for rest := c.body; rest != ""; {
 		time.Sleep(time.Duration(rng.IntN(150)) * time.Millisecond)
-		n := min(len(rest), 10)
+		n := min(len(rest), size)
 		if _, err := fmt.Fprintf(nc, "%x\r\n%s\r\n", n, rest[:n]); err != nil {
 			c.fail(err)
 			return err
