--- a/proofs/reports_test.go
+++ b/proofs/reports_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"sardinecross.example/lib/common/codec"
+	callers "sardinecross.example/platform/standin/caller"
 	"sardinecross.example/platform/standin/server"
 	"sardinecross.example/platform/standin/users"
 )
@@ -70,15 +71,22 @@
 	return after
 }
 
+// loadForSeconds sends requests from eight callers for three seconds and checks their answers.
+func (s *gateSite) loadForSeconds(t *testing.T) ([]callers.Attempt, users.Stats) {
+	t.Helper()
+	l := s.startLoad(8)
+	time.Sleep(3 * time.Second)
+	answers, seen := l.stop(), s.platformStats()
+	assertInvariants(t, answers, seen)
+	return answers, seen
+}
+
 // Guards against an answer that reaches another caller than its own: upstreams send a second copy of each answer, late, on a
 // connection that is in use again, health checks included.
 func TestGateSecondCopies(t *testing.T) {
 	s := newGateSite(t, 2)
 	s.setFault(server.SecondCopy, 0)
-	l := s.startLoad(8)
-	time.Sleep(3 * time.Second)
-	answers := l.stop()
-	assertInvariants(t, answers, s.platformStats())
+	answers, _ := s.loadForSeconds(t)
 	assertServed(t, answers, 0.99)
 }
 
@@ -87,10 +95,7 @@
 func TestGateRepeatedRefusals(t *testing.T) {
 	s := newGateSite(t, 2)
 	s.setFault(server.RepeatRefusal, 0)
-	l := s.startLoad(8)
-	time.Sleep(3 * time.Second)
-	answers := l.stop()
-	assertInvariants(t, answers, s.platformStats())
+	answers, _ := s.loadForSeconds(t)
 	assertServed(t, answers, 0.3) // half of all attempts are refused, and a request has two
 }
 
@@ -99,11 +104,7 @@
 func TestGateCutHeads(t *testing.T) {
 	s := newGateSite(t, 2)
 	s.setFault(server.CutHead, 0, append(s.upstreamIDs("enquiry")[:3], s.upstreamIDs(users.OrderService)...)...)
-	l := s.startLoad(8)
-	time.Sleep(3 * time.Second)
-	answers := l.stop()
-	seen := s.platformStats()
-	assertInvariants(t, answers, seen)
+	answers, seen := s.loadForSeconds(t)
 	for _, a := range answers {
 		if a.Status == http.StatusOK && a.Service == users.OrderService {
 			t.Errorf("order %s was answered 200, though every upstream cuts its answer", a.ID)
@@ -291,6 +292,18 @@
 	return all
 }
 
+// assertRunning checks that the process of every host runs.
+func (s *gateSite) assertRunning() {
+	s.T.Helper()
+	for _, h := range s.hosts {
+		select {
+		case <-h.Done:
+			s.T.Errorf("host %s has ended", h.ID)
+		default:
+		}
+	}
+}
+
 // Guards against a host that a single malformed message ends, or leaves unable to serve: from hosts, callers, upstreams and
 // other writers of the store.
 func TestGateMalformedMessages(t *testing.T) {
@@ -337,13 +350,7 @@
 	assertInvariants(t, answers, seen)
 	assertServed(t, answers, 0.99)
 	assertNoRunsAfter(t, seen, since.Add(2*time.Second), func(r server.Run) bool { return slices.Contains(drained, r.Upstream) })
-	for _, h := range s.hosts {
-		select {
-		case <-h.Done:
-			t.Errorf("host %s has ended", h.ID)
-		default:
-		}
-	}
+	s.assertRunning()
 	s.waitReady()
 }
 
@@ -379,12 +386,8 @@
 	assertInvariants(t, answers, seen)
 	assertServed(t, answers, 0.9) // the killed host cuts requests
 	assertNoRunsAfter(t, seen, since.Add(2*time.Second), func(r server.Run) bool { return r.Upstream == drained })
+	s.assertRunning()
 	for _, h := range s.hosts {
-		select {
-		case <-h.Done:
-			t.Errorf("host %s has ended", h.ID)
-		default:
-		}
 		out, _ := os.ReadFile(h.Output.Name())
 		for line := range strings.Lines(string(out)) {
 			if len(line) > maxLogLine {
