front: Read whether a connection closes before its handler starts

Callers saw nothing: if the reading goroutine took the later value, it stopped reading a connection that closes anyway.

The field is read before the handler starts.

--- a/sardinegate/front/conn.go
+++ b/sardinegate/front/conn.go
@@ -232,8 +232,9 @@
 		c.runHandler(x) // in the reading goroutine, since the handler reads from the connection
 		return false
 	}
+	last := x.closeAfter // the handler sets it as well, once it writes the response
 	go c.runHandler(x)
-	return !x.closeAfter
+	return !last
 }
 
 // runHandler calls the handler and finishes the exchange. If the handler panics, the connection is aborted.
