standin, proofs: Write raw requests and check their answers in one place

The tests that speak raw HTTP wrote the platform's headers themselves, outside platform/ and in two files, and the check that a response is the upstream's stood twice. platform/standin/caller has both now (RawCall, Verified); what is checked is the same.

--- a/proofs/reports_test.go
+++ b/proofs/reports_test.go
@@ -184,8 +184,8 @@
 // rawRequest returns a request with the given ID for the service enquiry, and the body of its answer.
 func rawRequest(id string) (text, body string) {
 	const target = "/enquiry/item"
-	return "GET " + target + " HTTP/1.1\r\nHost: " + users.RouteHost + "\r\nRequest-Id: " + id + "\r\nDeadline-Ms: 2000\r\n\r\n",
-		server.Body(id, target, 0)
+	call := callers.RawCall{ID: id, Host: users.RouteHost, Method: http.MethodGet, Target: target, Limit: 2 * time.Second}
+	return call.Head() + "\r\n", server.Body(id, target, 0)
 }
 
 // answerOf reads a response and returns an error unless it is the upstream's answer with the given body.
--- a/proofs/stop_test.go
+++ b/proofs/stop_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"sardinecross.example/platform/standin/server"
+	callers "sardinecross.example/platform/standin/caller"
 	"sardinecross.example/platform/standin/users"
 )
 
@@ -77,8 +77,9 @@
 	if c.order {
 		method = http.MethodPost
 	}
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nWork-Ms: %d\r\n",
-		method, c.target(), users.RouteHost, c.id, c.limit.Milliseconds(), c.work.Milliseconds())
+	return callers.RawCall{
+		ID: c.id, Host: users.RouteHost, Method: method, Target: c.target(), Limit: c.limit, Work: c.work,
+	}.Head()
 }
 
 func (c *stopCall) target() string {
@@ -136,7 +137,7 @@
 		return false
 	}
 	c.ended, c.status = time.Now(), resp.StatusCode
-	c.signed = resp.Header.Get("Response-Signature") == server.Signature(c.id) && string(body) == server.Body(c.id, c.target(), len(c.body))
+	c.signed = callers.Verified(resp, body, c.id, c.target(), len(c.body))
 	return !resp.Close
 }
 
