front: Test that a long body is not read after its end

With the guard in longBody.Read off, TestEarlyAnswerToALongUpload still passed, since end also interrupts the read that is waiting; a read that begins later was not tested. TestLongBodyIsNotReadAfterItsEnd fails with that guard off and passes with it. No change of the program.

--- a/sardinegate/front/body_test.go
+++ b/sardinegate/front/body_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -42,3 +43,15 @@
 		})
 	}
 }
+
+// Guards against a read that begins after the handler has returned, and takes bytes that the server discards by then.
+func TestLongBodyIsNotReadAfterItsEnd(t *testing.T) {
+	nc, other := net.Pipe()
+	defer nc.Close()
+	defer other.Close()
+	b := &longBody{nc: nc, rest: strings.NewReader("rest")}
+	b.end()
+	if n, err := b.Read(make([]byte, 4)); n > 0 || !errors.Is(err, http.ErrBodyReadAfterClose) {
+		t.Errorf("a read after the end returned %d bytes and %v", n, err)
+	}
+}
