--- a/sardined/peer/peer_test.go
+++ b/sardined/peer/peer_test.go
@@ -20,6 +20,7 @@
 	"go.uber.org/goleak"
 
 	"sardinecross.example/lib/common/ident"
+	"sardinecross.example/lib/common/logbuf"
 	"sardinecross.example/lib/core"
 	"sardinecross.example/lib/member"
 	"sardinecross.example/sardined/metric"
@@ -201,38 +202,20 @@
 	})
 }
 
-// logBuffer is a log output for concurrent use.
-type logBuffer struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-func (l *logBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(p)
-}
-
-func (l *logBuffer) count(substr string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return strings.Count(l.text.String(), substr)
-}
-
 // Operators learn of a lost and a reopened link from the log. At the default level it must have each event once, with the
 // cause of the loss, and none for links that the host closes itself.
 func TestLinkLossAndReturnAreLogged(t *testing.T) {
 	a := newTestCA(t)
 	a.issueIdentity(t, "a")
 	a.issueIdentity(t, "b")
-	var log logBuffer
+	var log logbuf.Buffer
 	ha := newLoggingHost(t, a, "a", 1, "127.0.0.1:0", slog.New(slog.NewTextHandler(&log, nil)))
 	hb := newHost(t, a, "b", 2, "127.0.0.1:0")
 	listAsPeers(ha, hb)
 	exchangeHeartbeats(t, ha, hb)
 	address := hb.Address().String()
 	hb.Close()
-	for end := time.Now().Add(10 * time.Second); log.count(`msg="link lost" host=b error=`) == 0; time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(10 * time.Second); log.Count(`msg="link lost" host=b error=`) == 0; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal("the loss of the link is not logged")
 		}
@@ -240,11 +223,11 @@
 	hb = newHost(t, a, "b", 3, address)
 	listAsPeers(ha, hb)
 	exchangeHeartbeats(t, ha, hb)
-	if opened, lost := log.count(`msg="link opened" host=b`), log.count("link lost"); opened != 2 || lost != 1 {
+	if opened, lost := log.Count(`msg="link opened" host=b`), log.Count("link lost"); opened != 2 || lost != 1 {
 		t.Errorf("opened %d times and lost %d times, want 2 and 1", opened, lost)
 	}
 	ha.Close()
-	if n := log.count("link lost"); n != 1 {
+	if n := log.Count("link lost"); n != 1 {
 		t.Errorf("closing the host logs %d lost links", n-1)
 	}
 }
--- a/sardinegate/broker/notice_test.go
+++ b/sardinegate/broker/notice_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"sardinecross.example/lib/common/logbuf"
 	"sardinecross.example/lib/fleet"
 	"sardinecross.example/lib/grant"
 )
@@ -170,7 +171,7 @@
 	all := startHosts(t, "a")
 	defer closeNodes(all)
 	h := all["a"]
-	var out lockedBuilder
+	var out logbuf.Buffer
 	h.deps.Log = slog.New(slog.NewTextHandler(&out, nil))
 	u := h.view.Upstreams["u"]
 	h.RecordNotice(u, fleet.ResponseInfo{InvalidRetryAfter: strings.Repeat("x", 10_000)})
@@ -199,24 +200,6 @@
 	}
 }
 
-// lockedBuilder is a strings.Builder for concurrent use.
-type lockedBuilder struct {
-	mu sync.Mutex
-	b  strings.Builder
-}
-
-func (l *lockedBuilder) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *lockedBuilder) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
-}
-
 // headerCodec reads the request ID, the leaving and the load of a response from plain headers.
 type headerCodec struct{ fakeCodec }
 
--- a/sardinegate/logger/logger_test.go
+++ b/sardinegate/logger/logger_test.go
@@ -1,12 +1,12 @@
 package logger
 
 import (
-	"bytes"
 	"log/slog"
 	"strings"
-	"sync"
 	"testing"
 	"time"
+
+	"sardinecross.example/lib/common/logbuf"
 )
 
 // blockedWriter is an output that blocks until release is closed.
@@ -40,22 +40,10 @@
 	w.Close()
 }
 
-// lockedBuffer is a buffer for concurrent use.
-type lockedBuffer struct {
-	mu sync.Mutex
-	bytes.Buffer
-}
-
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.Buffer.Write(p)
-}
-
 // Guards against a log that grows with the load, and against warnings that are dropped because lines of served requests
 // used up the rate limit.
 func TestRateLimitKeepsWarnings(t *testing.T) {
-	var out lockedBuffer
+	var out logbuf.Buffer
 	w := NewWriter(&out)
 	log := NewLogger(w, slog.LevelInfo)
 	for range 2 * maxPerSecond {
--- a/sardinegate/mesh/mesh_test.go
+++ b/sardinegate/mesh/mesh_test.go
@@ -4,13 +4,14 @@
 	"log/slog"
 	"net"
 	"net/netip"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"go.uber.org/goleak"
+
+	"sardinecross.example/lib/common/logbuf"
 )
 
 // freePort returns a UDP port that is free on 127.0.0.1 and is assumed to be free on the other loopback addresses.
@@ -76,7 +77,7 @@
 // line for each heartbeat.
 func TestMembershipChangesAreLoggedOnce(t *testing.T) {
 	p := freePort(t)
-	var out lockedBuffer
+	var out logbuf.Buffer
 	a, err := Listen(Self{Host: "a", Listen: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), p), Boot: 1}, slog.New(slog.NewTextHandler(&out, nil)))
 	if err != nil {
 		t.Fatal(err)
@@ -96,10 +97,10 @@
 		{b.Close, `msg="host lost" host=b`},
 	} {
 		step.do()
-		eventually(t, step.line, func() bool { return strings.Contains(out.String(), step.line) })
+		eventually(t, step.line, func() bool { return out.Count(step.line) > 0 })
 	}
 	time.Sleep(2 * heartbeatInterval)
-	if n := strings.Count(out.String(), "msg="); n != 3 {
+	if n := out.Count("msg="); n != 3 {
 		t.Errorf("%d log lines, want 3:\n%s", n, out.String())
 	}
 }
@@ -137,24 +138,6 @@
 	}
 }
 
-// lockedBuffer is a buffer for concurrent use.
-type lockedBuffer struct {
-	mu  sync.Mutex
-	buf strings.Builder
-}
-
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.Write(p)
-}
-
-func (b *lockedBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.String()
-}
-
 // Guards against delayed messages of an earlier lifetime of a host that reach the handler, and against datagrams that
 // cannot be decoded.
 func TestOldLifetimeAndInvalidDatagramsAreDropped(t *testing.T) {
