--- a/lib/common/serve/serve.go
+++ b/lib/common/serve/serve.go
@@ -134,9 +134,15 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-// ReadBody reads the body of a control request. It fails if the body is longer than 1 MiB.
-func ReadBody(r *http.Request) ([]byte, error) {
-	return io.ReadAll(http.MaxBytesReader(nil, r.Body, maxControlBytes))
+// ReadControl reads the body of a control request. If that fails or the body is longer than 1 MiB, it responds with status 400
+// and returns false.
+func ReadControl(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxControlBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return nil, false
+	}
+	return body, true
 }
 
 // DecodeControl decodes the body of a control request into dst. Fields of dst whose key is absent keep their values.
--- a/standin/hosts/hosts.go
+++ b/standin/hosts/hosts.go
@@ -166,9 +166,8 @@
 
 // handleControl serves POST /control. A lag in the same body already applies to the changes of that body.
 func (l *List) handleControl(w http.ResponseWriter, r *http.Request) {
-	body, err := serve.ReadBody(r)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	body, ok := serve.ReadControl(w, r)
+	if !ok {
 		return
 	}
 	l.mu.Lock()
--- a/standin/record/record.go
+++ b/standin/record/record.go
@@ -184,9 +184,8 @@
 
 // handleControl serves POST /control.
 func (l *Log) handleControl(w http.ResponseWriter, r *http.Request) {
-	body, err := serve.ReadBody(r)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	body, ok := serve.ReadControl(w, r)
+	if !ok {
 		return
 	}
 	l.mu.Lock()
--- a/standin/worker/fleet.go
+++ b/standin/worker/fleet.go
@@ -99,9 +99,8 @@
 // handleControl serves POST /control. The body is decoded once to select the workers, and then for each selected worker
 // on top of its present faults, so that absent faults keep their values.
 func (f *Fleet) handleControl(rw http.ResponseWriter, r *http.Request) {
-	body, err := serve.ReadBody(r)
-	if err != nil {
-		http.Error(rw, err.Error(), http.StatusBadRequest)
+	body, ok := serve.ReadControl(rw, r)
+	if !ok {
 		return
 	}
 	f.mu.Lock()
