--- a/proofs/site/site.go
+++ b/proofs/site/site.go
@@ -123,26 +123,13 @@
 func (s *Site) CreateHosts() {
 	for d, dc := range s.Layout.DataCentres {
 		for i := 1; i <= s.Layout.HostsPerDataCentre; i++ {
-			ip := s.IP(d+1, i)
-			h := &Host{
-				ID: fmt.Sprintf("%s-%d", dc, i), DataCentre: dc,
-				CallerAddr: ip + ":8080", PeerAddr: ip + ":9000", AdminAddr: ip + ":8090",
-			}
+			h := s.AddHost(dc, d+1, i)
 			if s.Layout.CuttableLinks {
 				h.LogLink = NewTCPLink(s.T, s.LogAddr())
 			}
-			s.RunCtl("keys", "host", "-ca", s.Path("ca.pem"), "-id", h.ID, "-address", ip).SaveStdout(h.ID + ".pem")
-			s.Hosts = append(s.Hosts, h)
 		}
 	}
-	var admins []string
-	for _, h := range s.Hosts {
-		admins = append(admins, h.AdminAddr)
-	}
-	s.WriteJSONFile("operator.jsonc", map[string]any{
-		"platform": map[string]any{"log": s.LogAddr(), "hostList": s.HostListAddr()},
-		"admin":    admins,
-	})
+	s.WriteOperatorSettings()
 	for _, a := range s.Hosts {
 		for _, b := range s.Hosts {
 			if s.Layout.CuttableLinks && a.ID < b.ID {
@@ -155,6 +142,30 @@
 	}
 }
 
+// AddHost adds the host n of a data centre, whose address is in the given group, and creates its key. It has no settings file yet.
+func (s *Site) AddHost(dataCentre string, group, n int) *Host {
+	ip := s.IP(group, n)
+	h := &Host{
+		ID: fmt.Sprintf("%s-%d", dataCentre, n), DataCentre: dataCentre,
+		CallerAddr: ip + ":8080", PeerAddr: ip + ":9000", AdminAddr: ip + ":8090",
+	}
+	s.RunCtl("keys", "host", "-ca", s.Path("ca.pem"), "-id", h.ID, "-address", ip).SaveStdout(h.ID + ".pem")
+	s.Hosts = append(s.Hosts, h)
+	return h
+}
+
+// WriteOperatorSettings writes the settings file of the operators' program for the platform and all hosts.
+func (s *Site) WriteOperatorSettings() {
+	var admins []string
+	for _, h := range s.Hosts {
+		admins = append(admins, h.AdminAddr)
+	}
+	s.WriteJSONFile("operator.jsonc", map[string]any{
+		"platform": map[string]any{"log": s.LogAddr(), "hostList": s.HostListAddr()},
+		"admin":    admins,
+	})
+}
+
 // HostSettings returns the content of a host's settings file.
 func (s *Site) HostSettings(h *Host) map[string]any {
 	log := s.LogAddr()
--- a/sardinebench/bench/site.go
+++ b/sardinebench/bench/site.go
@@ -147,24 +147,10 @@
 func (b *benchSite) createHosts() {
 	for i := range b.spec.hosts {
 		d := i % len(b.spec.dataCentres)
-		n := i/len(b.spec.dataCentres) + 1
-		ip := b.IP(d+1, n)
-		h := &site.Host{
-			ID: fmt.Sprintf("%s-%d", b.spec.dataCentres[d], n), DataCentre: b.spec.dataCentres[d],
-			CallerAddr: ip + ":8080", PeerAddr: ip + ":9000", AdminAddr: ip + ":8090",
-		}
-		b.RunCtl("keys", "host", "-ca", b.Path("ca.pem"), "-id", h.ID, "-address", ip).SaveStdout(h.ID + ".pem")
+		h := b.AddHost(b.spec.dataCentres[d], d+1, i/len(b.spec.dataCentres)+1)
 		h.SettingsPath = b.WriteJSONFile(h.ID+".jsonc", b.benchHostSettings(h))
-		b.Hosts = append(b.Hosts, h)
-	}
-	var admins []string
-	for _, h := range b.Hosts {
-		admins = append(admins, h.AdminAddr)
 	}
-	b.WriteJSONFile("operator.jsonc", map[string]any{
-		"platform": map[string]any{"log": b.LogAddr(), "hostList": b.HostListAddr()},
-		"admin":    admins,
-	})
+	b.WriteOperatorSettings()
 }
 
 // benchHostSettings returns the settings of a host with the limits of the spec and the default timing.
