entry: Log answers that the caller did not get

The error was dropped. So a search for the id of a lost request found a served one, or nothing, as INFO lines are left out first.

Such a request is now a warning with the outcome `answer not delivered` and the error of the write; the metric counts it as callerGone, or unknown if the upstream's body broke off, in place of served. What the connection still buffers when the write returns may be lost without the line.

TestAnswerThatIsNotDeliveredIsAWarning fails on the code before.

--- a/sardinegate/entry/entry.go
+++ b/sardinegate/entry/entry.go
@@ -204,7 +204,10 @@
 	case o.resp != nil:
 		o.status, o.reason = o.resp.Status, "answered"
 		defer h.recordOutcome(c, o)
-		h.writeUpstreamResponse(w, o.resp)
+		if err := h.writeUpstreamResponse(w, o.resp); err != nil {
+			o.deliveryErr, o.reason = err, "answer not delivered"
+			panic(http.ErrAbortHandler) // cuts the connection, so that the caller does not take the response for complete
+		}
 		return
 	case o.status == 0:
 		h.recordOutcome(c, o)
@@ -233,9 +236,9 @@
 	if c.view.Routes != nil {
 		version = c.view.Routes.Version
 	}
-	h.deps.Recorder.Request(kind, outcomeLabel(status), took)
+	h.deps.Recorder.Request(kind, o.label(c.r.Context().Err() != nil), took)
 	level := slog.LevelInfo
-	if status < 200 || status > 299 || target > 0 && took > target {
+	if o.deliveryErr != nil || status < 200 || status > 299 || target > 0 && took > target {
 		level = slog.LevelWarn
 	}
 	if !h.deps.Log.Enabled(context.Background(), level) {
@@ -245,6 +248,9 @@
 		"id", c.id, "route", name, "kind", kind, "service", c.service, "configuration", version,
 		"status", status, "outcome", o.reason, "tookMs", took.Milliseconds(), "targetMs", target.Milliseconds(),
 	}
+	if o.deliveryErr != nil {
+		attrs = append(attrs, "error", o.deliveryErr)
+	}
 	if o.decidedBy != "" {
 		attrs = append(attrs, "decidedBy", o.decidedBy, "retryAfterMs", o.retryAfter.Milliseconds())
 	}
@@ -258,8 +264,9 @@
 	h.deps.Log.Log(context.Background(), level, "request", attrs...)
 }
 
-// writeUpstreamResponse writes an upstream's response, without its hop-by-hop headers, to the caller.
-func (h *Handler) writeUpstreamResponse(w http.ResponseWriter, resp *pool.Response) {
+// writeUpstreamResponse writes an upstream's response, without its hop-by-hop headers, to the caller. It returns an error if the
+// connection of the caller has ended, or the upstream within its response.
+func (h *Handler) writeUpstreamResponse(w http.ResponseWriter, resp *pool.Response) error {
 	out := w.Header()
 	for name, values := range endToEndHeaders(resp.Header) {
 		out[name] = values
@@ -277,13 +284,16 @@
 	if resp.BodyRest != nil {
 		defer resp.BodyRest.Close() //nolint:errcheck // the connection is not used again
 	}
-	if _, err := w.Write(resp.Body); err != nil || resp.BodyRest == nil {
-		return
+	_, err := w.Write(resp.Body)
+	if errors.Is(err, http.ErrBodyNotAllowed) {
+		err = nil
 	}
-	resp.Body = nil // a long response must not hold its beginning until its end
-	if _, err := io.Copy(w, resp.BodyRest); err != nil {
-		panic(http.ErrAbortHandler) // cuts the connection, so that the caller does not take the response for complete
+	if err != nil || resp.BodyRest == nil {
+		return err
 	}
+	resp.Body = nil // a long response must not hold its beginning until its end
+	_, err = io.Copy(w, resp.BodyRest)
+	return err
 }
 
 // hopByHopHeaders concern a single connection and are not forwarded.
--- a/sardinegate/entry/entry_test.go
+++ b/sardinegate/entry/entry_test.go
@@ -341,6 +341,33 @@
 	}
 }
 
+// brokenWriter is a response writer whose connection has ended.
+type brokenWriter struct{ *httptest.ResponseRecorder }
+
+func (brokenWriter) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
+// Guards against a log that calls a request answered whose caller did not get the answer, such as one that waited behind another
+// response of its connection when the connection was cut.
+func TestAnswerThatIsNotDeliveredIsAWarning(t *testing.T) {
+	var out strings.Builder
+	f := newFixture(t, map[string]responder{"a": served})
+	f.deps.Log = slog.New(slog.NewJSONHandler(&out, nil))
+	defer func() {
+		if v := recover(); v != http.ErrAbortHandler { //nolint:errorlint // net/http compares the value itself
+			t.Fatalf("got panic %v, want http.ErrAbortHandler", v)
+		}
+		for _, word := range []string{`"level":"WARN"`, `"status":200`, `"outcome":"answer not delivered"`, `"error":"io: read/write on closed pipe"`} {
+			if !strings.Contains(out.String(), word) {
+				t.Errorf("no %s in %s", word, out.String())
+			}
+		}
+	}()
+	r := httptest.NewRequest(http.MethodGet, "/once/x", nil)
+	r.Host = "a.example"
+	r.Header.Set("Id", "1")
+	f.ServeHTTP(brokenWriter{httptest.NewRecorder()}, r)
+}
+
 // Guards against end-to-end headers that are lost or added, hop-by-hop headers that are forwarded, and an upstream that
 // is given more time than the route allows.
 func TestHeaders(t *testing.T) {
--- a/sardinegate/entry/outcome.go
+++ b/sardinegate/entry/outcome.go
@@ -15,9 +15,11 @@
 	// resp is an upstream's response; nil for a response of this host.
 	resp *pool.Response
 	// status and reason are sent in a response of this host and logged; status is 0 if the caller has disconnected.
-	status     int
-	reason     string
-	retryAfter time.Duration
+	status int
+	reason string
+	// deliveryErr is set if resp was not written whole to the caller.
+	deliveryErr error
+	retryAfter  time.Duration
 	// decidedBy is the host that refused to grant an upstream, upstreamCounts why it found none.
 	decidedBy      string
 	upstreamCounts *grant.UpstreamCounts
@@ -28,11 +30,13 @@
 	return &outcome{status: status, reason: reason, retryAfter: retryAfter}
 }
 
-// outcomeLabel returns the value of the metric label for a status.
-func outcomeLabel(status int) string {
-	switch {
-	case status == 0:
+// label returns the value of the metric label for the outcome of a request whose caller has gone or not.
+func (o *outcome) label(callerGone bool) string {
+	switch status := o.status; {
+	case status == 0, o.deliveryErr != nil && callerGone:
 		return "callerGone"
+	case o.deliveryErr != nil:
+		return "unknown"
 	case status < 400:
 		return "served"
 	case status == http.StatusServiceUnavailable:
