gate, logger, front: Log the phases of a stop whatever the load

The log did not say how long after SIGTERM something happened, nor how many requests and connections were open then, and its few lines on a stop had to share the rate limit with those of requests: with 40 callers of each kind at a host, left out the line `stop` in all of four stops and `stopped` in one. A missing line therefore did not tell a killed process from a busy one.

`stop`, the new `connections no longer accepted`, `requests cut at the end of the grace` and `stopped` have the time since the signal, the open connections and the requests without a complete response; `stop` also the grace, `stopped` how many lines the process has left out. They and `start` are written whatever the rate: at most five lines in the life of a process.

TestRateLimitKeepsWarnings fails with a logger that has the limit.

--- a/sardinegate/front/server.go
+++ b/sardinegate/front/server.go
@@ -180,7 +180,7 @@
 		select {
 		case <-t.C:
 		case <-ctx.Done():
-			if n := s.requestsLeft(); n > 0 {
+			if _, n := s.Open(); n > 0 {
 				return &CutError{n}
 			}
 			return nil
@@ -198,15 +198,14 @@
 	return s.accepting + len(s.conns)
 }
 
-// requestsLeft returns the number of requests without a complete response.
-func (s *Server) requestsLeft() int {
+// Open returns the number of open connections and of requests without a complete response.
+func (s *Server) Open() (conns, requests int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := 0
 	for c := range s.conns {
-		n += c.requestsLeft()
+		requests += c.requestsLeft()
 	}
-	return n
+	return len(s.conns), requests
 }
 
 // endAccepting makes Serve accept the connections that wait and return. A listener without deadlines is closed.
--- a/sardinegate/gate.go
+++ b/sardinegate/gate.go
@@ -43,6 +43,7 @@
 	settings        platform.Settings
 	settingsPath    string
 	log             *slog.Logger
+	processLog      *slog.Logger // for the start and the stop; see logger.NewProcessLogger
 	logWriter       *logger.Writer
 	store           *platform.Store
 	node            *mesh.Node
@@ -77,11 +78,12 @@
 	g := &gate{settings: s, settingsPath: path, logWriter: logger.NewWriter(out), store: platform.NewStore(s.StoreAddress), pool: pool.New(),
 		stop: grace.New(), start: time.Now()}
 	g.log = logger.NewLogger(g.logWriter, level)
+	g.processLog = logger.NewProcessLogger(g.logWriter, level)
 	if info, err := os.Stat(path); err == nil {
 		g.settingsModTime = info.ModTime()
 	}
 	boot := time.Now().UnixNano()
-	g.log.Info("start", "host", s.Host, "dataCentre", s.DataCentre, "boot", boot)
+	g.processLog.Info("start", "host", s.Host, "dataCentre", s.DataCentre, "boot", boot)
 	g.node, err = mesh.Listen(mesh.Self{
 		Host: s.Host, DataCentre: s.DataCentre, CallerAddress: s.CallerAddress, Boot: boot,
 		Listen: netip.AddrPortFrom(ip, uint16(s.InternalPort)), Capacity: capacity(s),
--- a/sardinegate/logger/logger.go
+++ b/sardinegate/logger/logger.go
@@ -121,6 +121,12 @@
 	return slog.New(&handler{slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}), w})
 }
 
+// NewProcessLogger returns a logger like that of NewLogger without the rate limit. It is for the few lines on the start and the
+// stop of the process, which explain all others.
+func NewProcessLogger(w *Writer, level slog.Level) *slog.Logger {
+	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}))
+}
+
 // Enabled implements slog.Handler.
 func (h *handler) Enabled(ctx context.Context, level slog.Level) bool {
 	return h.next.Enabled(ctx, level)
--- a/sardinegate/logger/logger_test.go
+++ b/sardinegate/logger/logger_test.go
@@ -41,7 +41,7 @@
 }
 
 // Guards against a log that grows with the load, and against warnings that are dropped because lines of served requests
-// used up the rate limit.
+// used up the rate limit, or lines on the stop of the process because warnings did.
 func TestRateLimitKeepsWarnings(t *testing.T) {
 	var out logbuf.Buffer
 	w := NewWriter(&out)
@@ -50,11 +50,18 @@
 		log.Info("served")
 	}
 	log.Warn("refused")
+	for range 2 * maxPerSecond {
+		log.Warn("refused")
+	}
+	NewProcessLogger(w, slog.LevelInfo).Info("stopped")
 	w.Close()
 	text := out.String()
 	if n := strings.Count(text, `"served"`); n > 2*maxPerSecond-reservedPerSecond {
 		t.Errorf("%d lines of served requests were written, above the rate limit", n)
 	}
+	if !strings.Contains(text, `"stopped"`) {
+		t.Error("the line on the stop of the process is missing")
+	}
 	if !strings.Contains(text, `"refused"`) || !strings.Contains(text, "log lines left out") {
 		t.Error("the warning or the count of dropped lines is missing")
 	}
--- a/sardinegate/stop.go
+++ b/sardinegate/stop.go
@@ -15,11 +15,11 @@
 // serve reloads the settings on SIGHUP or when their file was modified. Any other signal shuts the host down. While it shuts
 // down, signals change nothing: the platform kills a host that has to end sooner.
 func (g *gate) serve(signals <-chan os.Signal) {
-	g.awaitStop(signals)
+	sig := g.awaitStop(signals)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		g.shutdown()
+		g.shutdown(sig)
 	}()
 	for {
 		select {
@@ -31,16 +31,15 @@
 	}
 }
 
-// awaitStop reloads the settings when they may have changed, until a signal asks the host to stop.
-func (g *gate) awaitStop(signals <-chan os.Signal) {
+// awaitStop reloads the settings when they may have changed, until a signal asks the host to stop. It returns that signal.
+func (g *gate) awaitStop(signals <-chan os.Signal) os.Signal {
 	t := time.NewTicker(settingsCheckInterval)
 	defer t.Stop()
 	for {
 		select {
 		case sig := <-signals:
 			if sig != syscall.SIGHUP {
-				g.log.Info("stop", "signal", sig.String())
-				return
+				return sig
 			}
 			g.reload("signal")
 		case <-t.C:
@@ -81,16 +80,19 @@
 
 // shutdown removes the host from the directory, serves requests that still arrive and can be finished in time, lets requests in
 // flight end, and stops everything within the grace period; see grace.Period.
-func (g *gate) shutdown() {
+func (g *gate) shutdown(sig os.Signal) {
 	length, _ := g.reloadableLimits()
-	period := g.stop.Begin(time.Now(), length)
+	begun := time.Now()
+	period := g.stop.Begin(begun, length)
+	g.processLog.Info("stop", g.stopState(begun, "signal", sig.String(), "graceMs", length.Milliseconds())...)
 	g.callerServer.DisableKeepAlives()
 	g.node.SendHeartbeat()
 	time.Sleep(time.Until(period.AcceptUntil()))
+	g.processLog.Info("connections no longer accepted", g.stopState(begun)...)
 	ctx, cancel := context.WithDeadline(context.Background(), period.CutAt())
 	defer cancel()
 	if err := g.callerServer.Shutdown(ctx); err != nil {
-		g.log.Warn("requests cut at the end of the grace", "error", err)
+		g.processLog.Warn("requests cut at the end of the grace", g.stopState(begun, "error", err)...)
 	}
 	g.callerServer.Close()
 	for _, s := range g.httpServers {
@@ -103,6 +105,13 @@
 	g.node.Close()
 	g.pool.Close()
 	g.store.Close()
-	g.log.Info("stopped")
+	g.processLog.Info("stopped", g.stopState(begun, "logLinesLeftOut", g.logWriter.Dropped.Load())...)
 	g.logWriter.Close()
 }
+
+// stopState returns attributes for a log line on the stop that began at the given time: those given, how long ago it began,
+// and the connections and requests that are open.
+func (g *gate) stopState(begun time.Time, attrs ...any) []any {
+	conns, requests := g.callerServer.Open()
+	return append(attrs, "sinceStopMs", time.Since(begun).Milliseconds(), "connections", conns, "requests", requests)
+}
