proofs: Stop two hosts one shortly after the other beside consultations

The test compares what the callers saw with the logs of the hosts and checks that the log explains each stop.

--- a/proofs/stop_test.go
+++ b/proofs/stop_test.go
@@ -43,7 +43,9 @@
 	// status is 0 without a complete response. signed is set if the response is the upstream's.
 	status int
 	signed bool
-	err    error
+	// answerBegun is set once the first byte of the response has arrived.
+	answerBegun bool
+	err         error
 }
 
 // stopLoad is the load on one host while it is stopped.
@@ -51,6 +53,8 @@
 	s  *gateSite
 	h  *gateHost
 	wg sync.WaitGroup
+	// consultations restricts the load to enquiries with the time limit pairLimit.
+	consultations bool
 
 	mu    sync.Mutex
 	calls []*stopCall
@@ -125,6 +129,11 @@
 // receive reads the response. It returns false if the connection carries no further requests.
 func (c *stopCall) receive(nc net.Conn, br *bufio.Reader) bool {
 	_ = nc.SetReadDeadline(c.begun.Add(c.limit + time.Second))
+	if _, err := br.Peek(1); err != nil {
+		c.fail(err)
+		return false
+	}
+	c.answerBegun = true
 	resp, err := http.ReadResponse(br, nil)
 	if err != nil {
 		c.fail(err)
--- a/proofs/stopload_test.go
+++ b/proofs/stopload_test.go
@@ -45,6 +45,9 @@
 		work = 8 * time.Second // more than the grace
 	}
 	limits := []time.Duration{time.Second, 3 * time.Second, 12 * time.Second}
+	if l.consultations {
+		order, limits, work = false, []time.Duration{pairLimit}, min(work, pairLimit/2)
+	}
 	c := &stopCall{order: order, work: work, limit: limits[rng.IntN(len(limits))]}
 	if order {
 		c.body = orderText
