proofs: Show that a stop resets responses on their way to a slow caller

The host had logged the requests as answered.

Cause: front closes a connection that had no input for lingerTime (1 s) after its last response, also if much of its responses still waits in the kernel until the caller reads. The caller does not know of the close yet, since the announcement is in the last response. A request that it pipelines then makes the kernel reset the connection and drop what it had not sent.

--- a/proofs/callers_test.go
+++ b/proofs/callers_test.go
@@ -66,6 +66,16 @@
 	}
 }
 
+// pipelineDownloads pipelines requests with large responses and reads them slowly.
+func (l *stopLoad) pipelineDownloads(rng *rand.Rand) {
+	dial := func() net.Conn { return l.dialSlow(rng) }
+	l.pipeline(rng, 1500*time.Millisecond, dial, func() *stopCall {
+		c := l.newDownload(rng)
+		c.size = min(c.size, 320_000)
+		return c
+	})
+}
+
 // callWithoutLength gets responses without a length.
 func (l *stopLoad) callWithoutLength(rng *rand.Rand) {
 	for nc := l.dial(); nc != nil; nc = l.dial() {
--- a/proofs/stop_test.go
+++ b/proofs/stop_test.go
@@ -299,3 +299,42 @@
 		c.receive(nc, bufio.NewReader(nc))
 	}
 }
+
+// Guards against a host that closes a connection while its last responses are still on their way to a caller that reads slowly: a
+// request that the caller pipelines then resets the connection, and the rest of the responses is lost.
+func TestGateStopKeepsResponsesForSlowCaller(t *testing.T) {
+	s := newGateSite(t, 1)
+	const timeout = 4 * time.Second
+	s.sendCommand(map[string]any{"TimeoutMS": timeout.Milliseconds()})
+	time.Sleep(2 * time.Second) // until the timeout is in force
+	l := &stopLoad{s: s, h: s.hosts[0]}
+	nc := l.dial()
+	if nc == nil {
+		t.Fatal("the host accepts no connection")
+	}
+	defer nc.Close()
+	_ = nc.(*net.TCPConn).SetReadBuffer(slowReadBuffer) // the caller reads slowly in any case
+	sent, closing := make(chan *stopCall, 3), make(chan struct{})
+	var reader sync.WaitGroup
+	// The first response takes the caller 3 s to read.
+	reader.Go(func() { receivePipelined(slowConn{nc, 40 * time.Millisecond}, sent, closing) })
+	send := func(size int) {
+		c := l.addCall(&stopCall{work: 300 * time.Millisecond, limit: 12 * time.Second, size: size, pipelined: true})
+		_ = c.send(nc) // an error is kept with the request
+		sent <- c
+	}
+	send(600_000)
+	send(20_000)
+	stopped := time.Now()
+	l.h.Signal(syscall.SIGTERM)
+	time.Sleep(2 * time.Second)
+	select {
+	case <-closing:
+		t.Error("a response has ended early")
+	default:
+		send(20_000) // the caller has not read yet that the second response closes the connection
+	}
+	close(sent)
+	reader.Wait()
+	assertNoneLost(t, l.calls, s.platformStats(), stopped, timeout)
+}
--- a/proofs/stopseries_test.go
+++ b/proofs/stopseries_test.go
@@ -342,3 +342,8 @@
 		(*stopLoad).callPipelined, (*stopLoad).upload, (*stopLoad).downloadSlowly, (*stopLoad).callWithoutLength,
 		(*stopLoad).callInPieces, (*stopLoad).callInBursts)
 }
+
+// Guards against responses that are reset on the way to a caller that reads them slowly and sends another request meanwhile.
+func TestGateOverlappingStopsLoseNoPipelinedDownload(t *testing.T) {
+	testOverlappingStops(t, (*stopLoad).pipelineDownloads)
+}
