front: Let the reading goroutine decide that a connection is idle

Callers would see a kept connection close without an answer to a whole request, in the moment in which a stopping host closes idle connections. closeIdle looked for input in the kernel only. The reading goroutine could have taken the request from there and not yet have set receiving, for as long as a busy host gave it no processor; the request was then dropped with its connection.

closeIdle now only interrupts the wait for the next request. The reading goroutine, which has no input at that point, decides. The same decision holds at the end of idleTimeout, which did not look for input at all.

TestShutdownServesARequestThatIsBeingRead failed before ("unexpected EOF").

--- a/sardinegate/front/close_test.go
+++ b/sardinegate/front/close_test.go
@@ -92,6 +92,58 @@
 	wait()
 }
 
+// slowConn is a connection whose second read returns its input only a while after it was taken from the kernel.
+type slowConn struct {
+	*net.TCPConn
+	reads int
+	taken chan struct{}
+}
+
+func (c *slowConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if c.reads++; c.reads == 2 {
+		close(c.taken)
+		time.Sleep(5 * pollInterval)
+	}
+	return n, err
+}
+
+// slowConnListener accepts connections as slowConns.
+type slowConnListener struct {
+	*net.TCPListener
+	taken chan struct{}
+}
+
+func (l *slowConnListener) Accept() (net.Conn, error) {
+	nc, err := l.TCPListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &slowConn{TCPConn: nc.(*net.TCPConn), taken: l.taken}, nil
+}
+
+// Guards against a planned stop that takes a kept connection for idle while the reading goroutine has a whole request that it has
+// just taken from the kernel, and closes the connection without an answer.
+func TestShutdownServesARequestThatIsBeingRead(t *testing.T) {
+	tcp, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln := &slowConnListener{tcp.(*net.TCPListener), make(chan struct{})}
+	s := &Server{Handler: http.HandlerFunc(echo), Log: slog.New(slog.DiscardHandler)}
+	go func() { _ = s.Serve(ln) }()
+	defer s.Close()
+	nc := dial(t, ln.Addr().String())
+	br := bufio.NewReader(nc)
+	writeString(t, nc, getRequest("/1"))
+	assertResponse(t, br, 200, "/1")
+	writeString(t, nc, getRequest("/2"))
+	<-ln.taken
+	wait := startShutdown(t, s)
+	assertResponse(t, br, 200, "/2")
+	wait()
+}
+
 // Guards against a log line that says that requests were cut when there were none: a caller only keeps its connection open.
 func TestShutdownReportsRequestsThatAreLeft(t *testing.T) {
 	for name, want := range map[string]int{"/": 0, "/hang": 1} {
--- a/sardinegate/front/conn.go
+++ b/sardinegate/front/conn.go
@@ -46,8 +46,8 @@
 	newest *exchange
 	// incomplete counts the exchanges whose responses are not complete.
 	incomplete int
-	// closing is set once a response announces the close of the connection, or closeIdle closes it. No further request
-	// is served.
+	// closing is set once a response announces the close of the connection, or endIfIdle ends it. No further request is
+	// served.
 	closing bool
 }
 
@@ -67,22 +67,30 @@
 	_ = c.nc.Close() // the connection is no longer used
 }
 
-// closeIdle ends the sending side of the connection if every request has a complete response and none has begun to arrive. One
-// without any request yet is closed once firstRequestTime has passed.
+// closeIdle makes the reading goroutine end the connection if it is idle; see endIfIdle. One without any request yet is ended once
+// firstRequestTime has passed.
 func (c *conn) closeIdle(now time.Time) {
 	c.mu.Lock()
-	idle := c.incomplete == 0 && !c.receiving && !c.closing && (c.newest != nil || now.Sub(c.accepted) > firstRequestTime) && !hasInput(c.nc)
-	if idle {
-		c.closing = true
+	defer c.mu.Unlock()
+	if c.incomplete == 0 && !c.receiving && !c.closing && (c.newest != nil || now.Sub(c.accepted) > firstRequestTime) {
+		_ = c.nc.SetReadDeadline(now) // fails only on a closed connection
 	}
-	c.mu.Unlock()
-	if idle {
-		_ = c.endSending() // an error means that the caller has closed the connection
+}
+
+// endIfIdle reports whether the connection ends because every request has a complete response and no input waits. Only the reading
+// goroutine may call it, while it has no input itself: any other one would not see what that has just taken from the kernel.
+func (c *conn) endIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.incomplete > 0 || !c.closing && hasInput(c.nc) {
+		return false
 	}
+	c.closing = true
+	return true
 }
 
-// endSending closes the sending side of the connection and makes the reading goroutine wait for the caller to close the other
-// side, within lingerTime. It returns an error if the connection has no sides or is closed.
+// endSending closes the sending side of the connection, and makes the reading goroutine go on to linger if it waits for a
+// request. It returns an error if the connection has no sides or is closed.
 func (c *conn) endSending() error {
 	half, ok := c.nc.(interface{ CloseWrite() error })
 	if !ok {
@@ -125,13 +133,13 @@
 	}
 }
 
-// setIdleDeadline sets the read deadline by which the next request has to begin.
+// setIdleDeadline sets the read deadline by which the next request has to begin. None may begin after the last response.
 func (c *conn) setIdleDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	wait := idleTimeout
 	if c.closing && c.incomplete == 0 {
-		wait = lingerTime
+		wait = 0
 	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(wait)) // fails only on a closed connection
 }
@@ -142,7 +150,7 @@
 	for {
 		c.setIdleDeadline()
 		if _, err := c.br.Peek(1); err != nil {
-			if errors.Is(err, os.ErrDeadlineExceeded) && c.requestsLeft() > 0 {
+			if errors.Is(err, os.ErrDeadlineExceeded) && !c.endIfIdle() {
 				continue // the caller waits for its responses
 			}
 			c.inputEnded()
@@ -170,17 +178,13 @@
 	}
 }
 
-// inputEnded closes the connection once its last response was sent, as no input is left that could reset it. Before that, it
-// cancels the requests of the connection.
+// inputEnded cancels the requests of the connection, unless its last response was sent.
 func (c *conn) inputEnded() {
 	c.mu.Lock()
-	lastSent := c.closing && c.incomplete == 0
-	c.mu.Unlock()
-	if lastSent {
-		c.abort()
-		return
+	defer c.mu.Unlock()
+	if !c.closing || c.incomplete > 0 {
+		c.cancel()
 	}
-	c.cancel()
 }
 
 // requestsLeft returns the number of requests without a complete response.
