front: Discard unread input before a connection is aborted

Callers would see a reset in place of the end of a complete response: they read slowly, have pipelined more requests than the server reads, and the server closes the connection at the end of the grace, or because a later response is cut. abort closed the connection with unread input, and the kernel then resets it and drops what is not delivered yet.

abort now closes the sending side, which ends responses that are being written, and interrupts the reading goroutine. Once the handlers have ended, that one discards what has arrived (for at most 20 ms) and closes the connection; the kernel goes on delivering the responses. Only one goroutine reads, so that no handler can get a body with a piece missing. rejectRequest and the end of the caller's input go the same way, and no longer close with unread input.

TestCloseEndsAResponseThatIsNotRead guards against a close that waits for such a caller.

--- a/sardinegate/front/conn.go
+++ b/sardinegate/front/conn.go
@@ -20,9 +20,12 @@
 	readBufferSize  = 4 << 10
 	writeBufferSize = 4 << 10
 	// lingerTime is how long the server waits for further input after the last response of a connection, to discard it.
-	// maxLinger bounds how long it goes on discarding.
-	lingerTime = time.Second
-	maxLinger  = 5 * time.Second
+	// maxLinger bounds how long it goes on discarding. The other two apply to a connection that is aborted; its process may be
+	// about to end.
+	lingerTime      = time.Second
+	maxLinger       = 5 * time.Second
+	abortLingerTime = 5 * time.Millisecond
+	maxAbortLinger  = 20 * time.Millisecond
 )
 
 // conn is a caller's connection. One goroutine reads its requests and starts a goroutine for each request whose body is
@@ -49,6 +52,8 @@
 	// closing is set once a response announces the close of the connection, or endIfIdle ends it. No further request is
 	// served.
 	closing bool
+	// aborted is set by abort. The read deadline stays in the past until the handlers have ended.
+	aborted bool
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -61,10 +66,36 @@
 	}
 }
 
-// abort cancels the requests of the connection and closes it without waiting for their responses.
+// abort cancels the requests of the connection and ends its sending side without waiting for their responses. It makes the reading
+// goroutine close the connection: only that one may discard the input, which would reset the connection and with it the responses
+// that are sent and not yet delivered.
 func (c *conn) abort() {
 	c.cancel()
-	_ = c.nc.Close() // the connection is no longer used
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.aborted, c.closing = true, true
+	_ = c.nc.SetReadDeadline(time.Now()) // fails only on a closed connection
+	half, ok := c.nc.(closeWriter)
+	if !ok || half.CloseWrite() != nil {
+		_ = c.nc.Close() // the connection is no longer used
+	}
+}
+
+// closeWriter is a connection whose sending side can be closed.
+type closeWriter interface{ CloseWrite() error }
+
+// setReadDeadline sets the time that a read may take, unless the connection is aborted.
+func (c *conn) setReadDeadline(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setReadDeadlineLocked(d)
+}
+
+// setReadDeadlineLocked is setReadDeadline for callers that hold c.mu.
+func (c *conn) setReadDeadlineLocked(d time.Duration) {
+	if !c.aborted {
+		_ = c.nc.SetReadDeadline(time.Now().Add(d)) // fails only on a closed connection
+	}
 }
 
 // closeIdle makes the reading goroutine end the connection if it is idle; see endIfIdle. One without any request yet is ended once
@@ -92,7 +123,7 @@
 // endSending closes the sending side of the connection, and makes the reading goroutine go on to linger if it waits for a
 // request. It returns an error if the connection has no sides or is closed.
 func (c *conn) endSending() error {
-	half, ok := c.nc.(interface{ CloseWrite() error })
+	half, ok := c.nc.(closeWriter)
 	if !ok {
 		c.abort()
 		return net.ErrClosed
@@ -110,29 +141,43 @@
 	return c.receiving
 }
 
-// serve reads and serves requests until the connection ends, and waits for their handlers.
+// serve reads and serves requests until the connection ends, waits for their handlers, and closes the connection.
 func (c *conn) serve() {
 	c.readRequests()
 	c.handlers.Wait()
 	c.linger()
-	c.abort()
+	c.cancel()
+	_ = c.nc.Close() // the connection is no longer used
 }
 
 // linger closes the sending side and discards input until the caller closes the other side, pauses for lingerTime, or has sent for
 // maxLinger. Closing a connection with unread input would reset it, and the caller could lose the last response.
 func (c *conn) linger() {
-	if c.ctx.Err() != nil || c.endSending() != nil {
+	if c.endSending() != nil {
 		return
 	}
 	discarded := make([]byte, readBufferSize)
-	for end := time.Now().Add(maxLinger); time.Now().Before(end); {
-		_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime)) // fails only on a closed connection
+	for begun := time.Now(); c.setLingerDeadline(begun); {
 		if _, err := c.nc.Read(discarded); err != nil {
 			return
 		}
 	}
 }
 
+// setLingerDeadline sets the time that the next read of input to discard may take. It returns false if such input has come since
+// begun for as long as it may.
+func (c *conn) setLingerDeadline(begun time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	pause, longest := lingerTime, maxLinger
+	if c.aborted {
+		pause, longest = abortLingerTime, maxAbortLinger
+	}
+	now := time.Now()
+	_ = c.nc.SetReadDeadline(now.Add(pause)) // fails only on a closed connection
+	return now.Sub(begun) < longest
+}
+
 // setIdleDeadline sets the read deadline by which the next request has to begin. None may begin after the last response.
 func (c *conn) setIdleDeadline() {
 	c.mu.Lock()
@@ -141,7 +186,7 @@
 	if c.closing && c.incomplete == 0 {
 		wait = 0
 	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(wait)) // fails only on a closed connection
+	c.setReadDeadlineLocked(wait)
 }
 
 // readRequests reads requests until the connection ends. If the caller closes the connection before its responses are
@@ -150,7 +195,7 @@
 	for {
 		c.setIdleDeadline()
 		if _, err := c.br.Peek(1); err != nil {
-			if errors.Is(err, os.ErrDeadlineExceeded) && !c.endIfIdle() {
+			if errors.Is(err, os.ErrDeadlineExceeded) && c.ctx.Err() == nil && !c.endIfIdle() {
 				continue // the caller waits for its responses
 			}
 			c.inputEnded()
@@ -164,7 +209,7 @@
 		case <-c.ctx.Done():
 			return
 		}
-		_ = c.nc.SetReadDeadline(time.Now().Add(headerTimeout)) // fails only on a closed connection
+		c.setReadDeadline(headerTimeout)
 		c.headerLimit.Remaining = maxHeaderBytes - int64(c.br.Buffered())
 		r, err := http.ReadRequest(c.br)
 		c.headerLimit.Remaining = limit.Unlimited
@@ -273,7 +318,7 @@
 			return err
 		}
 	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(bodyTimeout)) // fails only on a closed connection
+	c.setReadDeadline(bodyTimeout)
 	if r.ContentLength > maxBufferedBody {
 		x.setLongBody(r.Body)
 		return nil
