front: Look for waiting connections before a listener is closed

Callers would see a reset right after they have connected and sent a request, 2 s before the end of the grace. An Accept that begins after its deadline of 2 ms accepts nothing. It was repeated if it returned after 4 ms or more, so that one that began between 2 and 4 ms after the deadline was set still counted as an empty queue.

The server now asks the kernel whether a connection waits on the listener, in place of measuring time.

--- a/sardinegate/front/input.go
+++ b/sardinegate/front/input.go
@@ -22,3 +22,33 @@
 	})
 	return err == nil && n > 0
 }
+
+// hasConnection reports whether a connection waits on a listener to be accepted.
+func hasConnection(ln net.Listener) bool {
+	sc, ok := ln.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waits := false
+	err = raw.Control(func(fd uintptr) { waits = pollInput(int(fd)) })
+	return err == nil && waits
+}
+
+// pollInput reports whether input waits on fd. An error counts as no input.
+func pollInput(fd int) bool {
+	epfd, err := syscall.EpollCreate1(syscall.EPOLL_CLOEXEC)
+	if err != nil {
+		return false
+	}
+	defer syscall.Close(epfd) //nolint:errcheck // nothing was written
+	if err := syscall.EpollCtl(epfd, syscall.EPOLL_CTL_ADD, fd, &syscall.EpollEvent{Events: syscall.EPOLLIN}); err != nil {
+		return false
+	}
+	var events [1]syscall.EpollEvent
+	n, _ := syscall.EpollWait(epfd, events[:], 0) // n is negative on an error
+	return n > 0
+}
--- a/sardinegate/front/server.go
+++ b/sardinegate/front/server.go
@@ -84,19 +84,18 @@
 }
 
 // acceptLast accepts the connections that wait on a listener, until none has come for lastAcceptWait. An Accept that begins after
-// its deadline accepts nothing even if connections wait, so one that returns late is repeated.
+// its deadline accepts nothing even if connections wait, so that only an empty queue of the listener ends it.
 func (s *Server) acceptLast(ln net.Listener) {
 	l := ln.(deadlineListener) // Accept has returned at a deadline
 	for range maxLastAccepts {
-		begun := time.Now()
-		if l.SetDeadline(begun.Add(lastAcceptWait)) != nil {
+		if l.SetDeadline(time.Now().Add(lastAcceptWait)) != nil {
 			return
 		}
 		nc, err := ln.Accept()
 		switch {
 		case err == nil:
 			s.startConn(nc)
-		case !errors.Is(err, os.ErrDeadlineExceeded) || time.Since(begun) < 2*lastAcceptWait:
+		case !errors.Is(err, os.ErrDeadlineExceeded) || !hasConnection(ln):
 			return
 		}
 	}
--- a/sardinegate/front/shutdown_test.go
+++ b/sardinegate/front/shutdown_test.go
@@ -86,34 +86,39 @@
 type stalledListener struct {
 	*heldListener
 	stalls int
+	stall  time.Duration
 }
 
 func (l *stalledListener) SetDeadline(t time.Time) error {
 	err := l.heldListener.SetDeadline(t)
 	if l.stalls > 0 && t.After(time.Now()) {
 		l.stalls--
-		time.Sleep(time.Until(t) + 2*lastAcceptWait)
+		time.Sleep(time.Until(t) + l.stall)
 	}
 	return err
 }
 
 // Guards against a planned stop that resets the connections that wait to be accepted because the host, which is busy, did not get
-// to accept them within lastAcceptWait.
+// to accept them within lastAcceptWait, by little or by much.
 func TestShutdownOfABusyHostServesConnectionsThatWait(t *testing.T) {
-	tcp, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for _, stall := range []time.Duration{lastAcceptWait / 4, 2 * lastAcceptWait} {
+		t.Run(stall.String(), func(t *testing.T) {
+			tcp, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			ln := &stalledListener{&heldListener{tcp.(*net.TCPListener), make(chan struct{})}, 3, stall}
+			s := &Server{Handler: http.HandlerFunc(echo), Log: slog.New(slog.DiscardHandler)}
+			go func() { _ = s.Serve(ln) }()
+			defer s.Close()
+			nc := dial(t, ln.Addr().String())
+			writeString(t, nc, getRequest("/1"))
+			wait := startShutdown(t, s)
+			close(ln.accept)
+			assertResponse(t, bufio.NewReader(nc), 200, "/1")
+			wait()
+		})
 	}
-	ln := &stalledListener{&heldListener{tcp.(*net.TCPListener), make(chan struct{})}, 3}
-	s := &Server{Handler: http.HandlerFunc(echo), Log: slog.New(slog.DiscardHandler)}
-	go func() { _ = s.Serve(ln) }()
-	defer s.Close()
-	nc := dial(t, ln.Addr().String())
-	writeString(t, nc, getRequest("/1"))
-	wait := startShutdown(t, s)
-	close(ln.accept)
-	assertResponse(t, bufio.NewReader(nc), 200, "/1")
-	wait()
 }
 
 // Guards against a planned stop that closes a connection whose first request is on its way, or has arrived in part.
