front: Keep a connection open until its last response is delivered

Callers would see a reset in the middle of a complete response: they read slowly, pipeline, and send the next request before they have read that the connection closes. The server closed the connection 1 s after the response was written, if no input came; what arrives after that resets it, and the kernel drops what is not delivered yet.

The server now goes on to discard input until the kernel has delivered everything, for at most writeTimeout. A stop still ends it at the end of the grace.

TestLingerDeliversTheLastResponse failed before (a reset in the middle of 131,072 bytes); it passes 5 times in a row with the race detector.

--- a/sardinegate/front/conn.go
+++ b/sardinegate/front/conn.go
@@ -151,27 +151,32 @@
 }
 
 // linger closes the sending side and discards input until the caller closes the other side, pauses for lingerTime, or has sent for
-// maxLinger. Closing a connection with unread input would reset it, and the caller could lose the last response.
+// maxLinger. While the responses are not delivered it goes on, up to writeTimeout. Input that is unread when the connection closes,
+// or arrives later, resets it, and the caller could lose the last response.
 func (c *conn) linger() {
 	if c.endSending() != nil {
 		return
 	}
 	discarded := make([]byte, readBufferSize)
 	for begun := time.Now(); c.setLingerDeadline(begun); {
-		if _, err := c.nc.Read(discarded); err != nil {
+		_, err := c.nc.Read(discarded)
+		if err != nil && (!errors.Is(err, os.ErrDeadlineExceeded) || !hasOutput(c.nc)) {
 			return
 		}
 	}
 }
 
-// setLingerDeadline sets the time that the next read of input to discard may take. It returns false if such input has come since
+// setLingerDeadline sets the time that the next read of input to discard may take. It returns false if linger has gone on since
 // begun for as long as it may.
 func (c *conn) setLingerDeadline(begun time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	pause, longest := lingerTime, maxLinger
-	if c.aborted {
+	switch {
+	case c.aborted:
 		pause, longest = abortLingerTime, maxAbortLinger
+	case hasOutput(c.nc):
+		longest = writeTimeout
 	}
 	now := time.Now()
 	_ = c.nc.SetReadDeadline(now.Add(pause)) // fails only on a closed connection
--- a/sardinegate/front/delivery_test.go
+++ b/sardinegate/front/delivery_test.go
@@ -80,3 +80,16 @@
 		t.Errorf("the close took %v", took)
 	}
 }
+
+// Guards against a complete response that a slow caller loses because the server has closed the connection when a further request
+// arrives, which resets it.
+func TestLingerDeliversTheLastResponse(t *testing.T) {
+	s, _, _ := startServer(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(longAnswer) })
+	s.DisableKeepAlives()
+	nc := slowCaller(t, s)
+	writeString(t, nc, getRequest("/1"))
+	time.Sleep(2*lingerTime + 100*time.Millisecond)
+	_, _ = io.WriteString(nc, getRequest("/2")) // may fail: the server closes the connection
+	time.Sleep(20 * time.Millisecond)
+	assertLongAnswer(t, nc)
+}
--- a/sardinegate/front/input.go
+++ b/sardinegate/front/input.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"syscall"
+	"unsafe"
 )
 
 // hasInput reports whether input waits on a connection, also while another goroutine waits to read it.
@@ -23,6 +24,24 @@
 	return err == nil && n > 0
 }
 
+// hasOutput reports whether the peer of a connection has not received all that was written to it.
+func hasOutput(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var n int32
+	var errno syscall.Errno
+	err = raw.Control(func(fd uintptr) {
+		_, _, errno = syscall.Syscall(syscall.SYS_IOCTL, fd, syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&n)))
+	})
+	return err == nil && errno == 0 && n > 0
+}
+
 // hasConnection reports whether a connection waits on a listener to be accepted.
 func hasConnection(ln net.Listener) bool {
 	sc, ok := ln.(syscall.Conn)
