front: Reset a connection to cut a response without a length

Callers that speak HTTP/1.0 would take a cut response for a complete one: it has no length and ends with its connection, which the server closed in order when the upstream had broken off, the time limit had passed or the host stopped.

The server now resets the connection in this case, as upstreams do. Other responses tell their own end, and a reset would take what is not delivered with it.

TestCutResponseWithoutLengthIsReset failed before, 3 times in 3; it passes 30 times in a row with the race detector.

--- a/sardinegate/front/conn.go
+++ b/sardinegate/front/conn.go
@@ -52,6 +52,8 @@
 	// closing is set once a response announces the close of the connection, or endIfIdle ends it. No further request is
 	// served.
 	closing bool
+	// endsWithConn is set while a response is being written whose end is the end of the connection.
+	endsWithConn bool
 	// aborted is set by abort. The read deadline stays in the past until the handlers have ended.
 	aborted bool
 }
@@ -68,19 +70,25 @@
 
 // abort cancels the requests of the connection and ends its sending side without waiting for their responses. It makes the reading
 // goroutine close the connection: only that one may discard the input, which would reset the connection and with it the responses
-// that are sent and not yet delivered.
+// that are sent and not yet delivered. A response that ends with the connection must not look complete, so that a reset cuts it.
 func (c *conn) abort() {
 	c.cancel()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.aborted, c.closing = true, true
 	_ = c.nc.SetReadDeadline(time.Now()) // fails only on a closed connection
+	if l, ok := c.nc.(lingerer); ok && c.endsWithConn {
+		_ = l.SetLinger(0) // fails only on a closed connection
+	}
 	half, ok := c.nc.(closeWriter)
-	if !ok || half.CloseWrite() != nil {
+	if !ok || c.endsWithConn || half.CloseWrite() != nil {
 		_ = c.nc.Close() // the connection is no longer used
 	}
 }
 
+// lingerer is a connection that can be made to reset when it closes.
+type lingerer interface{ SetLinger(sec int) error }
+
 // closeWriter is a connection whose sending side can be closed.
 type closeWriter interface{ CloseWrite() error }
 
--- a/sardinegate/front/delivery_test.go
+++ b/sardinegate/front/delivery_test.go
@@ -93,3 +93,28 @@
 	time.Sleep(20 * time.Millisecond)
 	assertLongAnswer(t, nc)
 }
+
+// Guards against a response without a length that looks complete to an HTTP/1.0 caller though it was cut: its end is the end of the
+// connection, so that a cut must reset it.
+func TestCutResponseWithoutLengthIsReset(t *testing.T) {
+	begun := make(chan struct{})
+	s, nc, br := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write(longAnswer)
+		if r.URL.Path == "/close" {
+			close(begun)
+			<-r.Context().Done()
+		}
+		panic(http.ErrAbortHandler)
+	})
+	other := dial(t, nc.RemoteAddr().String())
+	writeString(t, nc, "GET /abort HTTP/1.0\r\n\r\n")
+	if _, err := io.ReadAll(br); err == nil {
+		t.Error("a response whose handler panics looks complete")
+	}
+	writeString(t, other, "GET /close HTTP/1.0\r\n\r\n")
+	<-begun
+	s.Close()
+	if _, err := io.ReadAll(other); err == nil {
+		t.Error("a response that is cut when the server closes looks complete")
+	}
+}
--- a/sardinegate/front/exchange.go
+++ b/sardinegate/front/exchange.go
@@ -146,6 +146,7 @@
 		}
 	}
 	x.c.mu.Lock()
+	x.c.endsWithConn = x.bodyRemaining < 0 && !x.chunked && allowsBody(x.status) && x.r.Method != http.MethodHead
 	// Only the response to the newest request may announce the close: pipelined requests after it would be lost.
 	if x.c.newest == x && (x.closeAfter || x.c.server.keepAlivesDisabled.Load()) {
 		x.closeAfter = true
@@ -204,5 +205,11 @@
 	} else if x.bodyRemaining > 0 && x.r.Method != http.MethodHead && allowsBody(x.status) {
 		return io.ErrUnexpectedEOF // the caller must not take an incomplete body for a complete one
 	}
-	return x.c.bw.Flush()
+	err := x.c.bw.Flush()
+	if err == nil {
+		x.c.mu.Lock()
+		x.c.endsWithConn = false
+		x.c.mu.Unlock()
+	}
+	return err
 }
