grant: Send one request at a time to an upstream that failed

Cause: a failing upstream is only made to look slower, by a failure rate that halves in 1.5 s without attempts. When it was low enough, as many requests as the upstream has slots went there at once, and each took its whole time limit to fail.

An upstream is on trial after three failures in a row, until it has served a request. While another upstream is sound, it gets one request at a time, which can be repeated and has attempts left, with a pause of 0.25 s before it that doubles to 4 s while trials fail. Orders and last attempts become trials only if no other request came for 4 s, since a service of orders alone would lose the upstream for good. Hedges never do. If no upstream is sound, all share the load as before. Weighed: one failure as the threshold would take the capacity of a sound upstream for a broken connection; with three in a row, the next response of any request in flight ends the row. An upstream that sheds neither begins nor ends a trial. Restarted upstreams begin without failures, and so does the view of a new owner.

--- a/lib/grant/pick.go
+++ b/lib/grant/pick.go
@@ -38,7 +38,7 @@
 			c.Cold++
 		case u.dead(now):
 			c.Dead++
-		case u.inFlight(now) >= u.slots() || u.notices.Pause(now, req.ID.Host) > 0:
+		case u.trials.active() || u.inFlight(now) >= u.slots() || u.notices.Pause(now, req.ID.Host) > 0:
 			c.Full++
 		}
 	}
@@ -78,7 +78,9 @@
 		best.coldTokens--
 	}
 	best.updateWorkDone(now)
-	best.attempts[req.ID] = &attempt{request: *req, startedAt: now, workAtStart: best.workDone, expiresAt: now + req.TimeLeft + time.Second}
+	best.attempts[req.ID] = &attempt{
+		request: *req, startedAt: now, workAtStart: best.workDone, isTrial: best.trials.active(), expiresAt: now + req.TimeLeft + time.Second,
+	}
 	return sel
 }
 
@@ -98,7 +100,7 @@
 // selectUpstream returns the upstream with the least expected cost and its expected response time. The cost is the
 // response time plus a charge for another data centre. A single upstream may work above its knee (see kneeSlots) if
 // that is quicker than the others, but all usable upstreams together may not. full reports whether capacity was
-// lacking: a usable upstream had no free slot, or all together had reached their knee.
+// lacking: a usable upstream had no free slot or was on trial, or all together had reached their knee.
 func (s *State) selectUpstream(now time.Duration, rnd float64, svc *service, req *AttemptRequest) (best *upstream, eta time.Duration, full bool) {
 	crossCost := s.cfg.CrossDataCentreCost
 	if req.Bulk {
@@ -107,20 +109,29 @@
 	s.searches++
 	bestCost, belowKnee := 0.0, 0
 	n := len(svc.upstreams)
-	allDead := !slices.ContainsFunc(svc.upstreams, func(u *upstream) bool {
-		return s.inService(u) && !u.notices.Blocks(now, req.ID.Host) && !u.dead(now)
-	})
+	allDead, sound := s.alternatives(now, svc, req.ID.Host)
+	var last *upstream // one for which the request may be a trial as a last resort
 	for i := range n {
 		u := svc.upstreams[(i+int(rnd*float64(n)))%n]
 		if !s.usable(now, svc, u, req) || u.dead(now) && !allDead {
 			continue
 		}
+		use := u.trialUse(now, req, sound)
 		inFlight := u.inFlight(now)
-		belowKnee += u.kneeSlots() - inFlight
-		if inFlight >= u.slots() {
+		if use == anyUse {
+			belowKnee += u.kneeSlots() - inFlight
+		}
+		if use == noUse || inFlight >= u.slots() {
 			full = true
 			continue
 		}
+		if use != anyUse {
+			belowKnee++
+		}
+		if use == lastResort {
+			last = u
+			continue
+		}
 		t := svc.responseTime(now, u)
 		cost := float64(t)
 		if u.DataCentre != req.DataCentre {
@@ -130,6 +141,9 @@
 			best, bestCost, eta = u, cost, t
 		}
 	}
+	if best == nil && last != nil {
+		best, eta = last, svc.responseTime(now, last)
+	}
 	if belowKnee <= 0 {
 		return nil, 0, best != nil || full
 	}
--- a/lib/grant/request.go
+++ b/lib/grant/request.go
@@ -127,8 +127,8 @@
 	// of service.
 	Listed, Out int
 	// Tried counts those that already got the request, Cold those whose cold rate is used up (or all cold ones, if the
-	// host decides without the owner), Dead those that do not answer probes, Full those without a free slot or that want no
-	// request of the asking host for a time.
+	// host decides without the owner), Dead those that do not answer probes, Full those without a free slot, that want no
+	// request of the asking host for a time, or that are on trial.
 	Tried, Cold, Dead, Full int
 	// Waiting is the number of queued requests of the service.
 	Waiting int
--- a/lib/grant/state.go
+++ b/lib/grant/state.go
@@ -156,6 +156,7 @@
 	u.updateWorkDone(now)
 	a, ok := u.attempts[d.ID]
 	delete(u.attempts, d.ID)
+	u.trials.record(now, d.Outcome, ok && a.isTrial)
 	if d.Report != nil {
 		s.RecordReport(now, d.Upstream, *d.Report, false, false)
 	}
--- a/lib/grant/upstream.go
+++ b/lib/grant/upstream.go
@@ -15,6 +15,7 @@
 	startedAt time.Duration
 	// workAtStart is upstream.workDone at the start of the attempt.
 	workAtStart float64
+	isTrial     bool          // see trials
 	expiresAt   time.Duration // when the attempt is dropped if its end was not reported
 }
 
@@ -41,6 +42,7 @@
 	slowdown   float64
 	slowdownAt time.Duration
 
+	trials        trials
 	failureRate   float64 // moving average of failures, in 0 to 1, as of failureRateAt
 	failureRateAt time.Duration
 	timeRatio     float64 // response time relative to the average of the service, without machine slowdown
