entry: End hedges that are offered during a long response

Callers got 503 noRoom although sound upstreams were idle, beside upstreams that sent bodies without end. An owner offers a hedge for an attempt that is late, and that of a long response lasts until its body ends. The offer went into the buffer of a channel from which nobody received any more, as sendAttempts had returned, so it was neither used nor ended and kept a slot of a sound upstream until the time limit of the request and a second more. This holds for each long download, too. The channel has no buffer now: an offer that the request cannot take at once is ended as unused by the broker, as its doc comment says. endUnusedHedge is not needed.

TestHedgeOfferedDuringALongResponseEnds fails before (1 of 2 attempts ended). The fake owner of the tests offers as the broker does: it waits for the request with the first hedge and ends a later one that is not taken.

--- a/sardinegate/entry/entry_test.go
+++ b/sardinegate/entry/entry_test.go
@@ -42,13 +42,14 @@
 func (fakeCodec) ParseLoad(http.Header) (fleet.Report, bool) { return fleet.Report{}, false }
 
 // fakeSelector grants the upstreams a, b, c and so on in turn. With refuse it refuses all requests; with offerHedge it
-// offers hedges at z at once and at c 10 ms later.
+// offers a hedge at z as soon as the request can accept one and at c 10 ms later, with offerLate at z after 30 ms.
 type fakeSelector struct {
 	mu         sync.Mutex
 	requests   []grant.AttemptRequest
 	ended      []grant.AttemptEnd
 	refuse     bool
 	offerHedge bool
+	offerLate  bool
 	noticed    map[string]fleet.Notice // by upstream ID
 }
 
@@ -62,12 +63,29 @@
 		}}
 	}
 	if g.offerHedge && hedges != nil {
-		hedges <- broker.Decision{Selection: grant.Selection{Upstream: "z"}}
-		time.AfterFunc(10*time.Millisecond, func() { hedges <- broker.Decision{Selection: grant.Selection{Upstream: "c"}} })
+		go func() {
+			hedges <- broker.Decision{Selection: grant.Selection{Upstream: "z"}}
+			g.offer(hedges, "c", 10*time.Millisecond)
+		}()
+	}
+	if g.offerLate && hedges != nil {
+		g.offer(hedges, "z", 30*time.Millisecond)
 	}
 	return broker.Decision{Selection: grant.Selection{Upstream: string(rune('a' + len(req.Tried)))}}
 }
 
+// offer offers a hedge later. Like broker.Broker, it ends one that the request does not accept.
+func (g *fakeSelector) offer(hedges chan<- broker.Decision, upstream string, later time.Duration) {
+	d := broker.Decision{Selection: grant.Selection{Upstream: upstream}}
+	time.AfterFunc(later, func() {
+		select {
+		case hedges <- d:
+		default:
+			g.EndAttempt(d, grant.AttemptEnd{Outcome: grant.Unused})
+		}
+	})
+}
+
 func (g *fakeSelector) MaySend(u fleet.Upstream) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -261,6 +279,23 @@
 	}
 }
 
+// Guards against slots of sound upstreams that stay occupied because a hedge was offered while the caller reads a long response:
+// nobody used it or ended it.
+func TestHedgeOfferedDuringALongResponseEnds(t *testing.T) {
+	f := newFixture(t, map[string]responder{"a": func(ctx context.Context, r *pool.Request) (*pool.Response, error) {
+		resp, err := served(ctx, r)
+		rest, w := io.Pipe()
+		time.AfterFunc(50*time.Millisecond, func() { _ = w.Close() })
+		resp.BodyRest, resp.ContentLength = rest, -1
+		return resp, err
+	}})
+	f.selector.offerLate = true
+	if w := f.request("/safe/x", ""); w.Code != 200 {
+		t.Fatalf("got status %d, want 200", w.Code)
+	}
+	f.assertAttemptsEnded(t, 2) // the attempt and the hedge
+}
+
 // Guards against a body too long to buffer whose parts are sent to two upstreams, and against slots that stay occupied
 // because a hedge that arrived after the last allowed attempt was not ended as unused.
 func TestLongBodyIsSentOnce(t *testing.T) {
--- a/sardinegate/entry/run.go
+++ b/sardinegate/entry/run.go
@@ -103,8 +103,8 @@
 	hedgeTimer := time.NewTimer(time.Duration(firstHedgeShare * float64(c.route.Target)))
 	defer hedgeTimer.Stop()
 	if c.mayHedge() {
-		c.hedges = make(chan broker.Decision, 1)
-		defer h.endUnusedHedge(c)
+		// Without a buffer: a hedge that is offered when sendAttempts no longer receives ends as unused.
+		c.hedges = make(chan broker.Decision)
 	}
 	running := 0
 	if refused := h.startAttempt(ctx, c, ended, false, false); refused != nil {
@@ -152,15 +152,6 @@
 	return c.route.Kind.MayRepeat() && c.bodyRest == nil && len(c.attempts) < c.route.MaxAttempts
 }
 
-// endUnusedHedge ends a hedge that was offered but not used, so that its slot is freed.
-func (h *Handler) endUnusedHedge(c *call) {
-	select {
-	case d := <-c.hedges:
-		h.deps.Selector.EndAttempt(d, grant.AttemptEnd{Outcome: grant.Unused})
-	default:
-	}
-}
-
 // cancelExcept cancels all attempts but keep, whose response may still be read. keep may be nil.
 func (c *call) cancelExcept(keep *attempt) {
 	for _, a := range c.attempts {
