entry: Count long responses that are not for the caller as failures

An upstream that sent 200 without its signature, or a 5xx, and a long body got requests as if it were sound. The request went to another upstream; when that had served it, the first attempt was cancelled and reported as abandoned, which does not count against the upstream. Until then the first connection stayed open with the begun body in memory, up to the time limit of the request.

Such a response never reaches the caller, so its connection is closed and the failure reported at once. TestLongResponseThatIsNotForTheCallerCountsAgainstTheUpstream fails before (no failure is reported first) and passes now.

--- a/sardinegate/entry/run.go
+++ b/sardinegate/entry/run.go
@@ -269,8 +269,8 @@
 	h.deps.Selector.RecordNotice(u, info)
 }
 
-// endAttempt classifies the result of an attempt and reports it to the host that granted it, for a response that is still
-// being read when that has ended.
+// endAttempt classifies the result of an attempt and reports it to the host that granted it, for a response that the
+// caller still reads when that has ended.
 func (h *Handler) endAttempt(ctx context.Context, c *call, a *attempt, resp *pool.Response, err error) {
 	a.took, a.resp, a.err = time.Since(a.start), resp, err
 	end := grant.AttemptEnd{Took: a.took}
@@ -283,12 +283,16 @@
 		}
 	}
 	h.deps.Recorder.Attempt(c.service, a.result.String(), a.took)
-	if resp == nil || resp.BodyRest == nil {
-		h.deps.Selector.EndAttempt(a.decision, end)
+	switch {
+	case resp == nil || resp.BodyRest == nil:
+	case a.result != answered:
+		_ = resp.BodyRest.Close() // the response is not for the caller
+	default:
+		streamBody(ctx, resp, end.Outcome, func(o grant.Outcome) {
+			end.Outcome, end.Took = o, time.Since(a.start)
+			h.deps.Selector.EndAttempt(a.decision, end)
+		})
 		return
 	}
-	streamBody(ctx, resp, end.Outcome, func(o grant.Outcome) {
-		end.Outcome, end.Took = o, time.Since(a.start)
-		h.deps.Selector.EndAttempt(a.decision, end)
-	})
+	h.deps.Selector.EndAttempt(a.decision, end)
 }
