httpc: Bound the head of a response to 64 kB

The client of the store, of other hosts' copies, of the roster and of the application log kept up to 10 MB of a head without end, or of interim responses, for each call in progress: the default of net/http. Bodies were bounded.

--- a/lib/common/httpc/httpc.go
+++ b/lib/common/httpc/httpc.go
@@ -14,6 +14,8 @@
 const (
 	dialTimeout     = time.Second
 	idleConnTimeout = time.Minute // after which an unused connection is closed
+	// maxHeadBytes bounds the head of a response, in bytes. The default of net/http is 10 MB for each call in progress.
+	maxHeadBytes = 64 << 10
 	// The keep-alive settings detect a connection whose remote machine no longer responds: probes are sent after
 	// keepAliveIdle without traffic, then every keepAliveInterval, and the connection fails after keepAliveCount
 	// unanswered ones. The remote kernel answers them, so a slow server process does not fail the connection.
@@ -62,10 +64,11 @@
 		ctx:    ctx,
 		cancel: cancel,
 		transport: &http.Transport{
-			DialContext:        dialer().DialContext,
-			MaxConnsPerHost:    maxConns,
-			IdleConnTimeout:    idleConnTimeout,
-			DisableCompression: true,
+			DialContext:            dialer().DialContext,
+			MaxConnsPerHost:        maxConns,
+			MaxResponseHeaderBytes: maxHeadBytes,
+			IdleConnTimeout:        idleConnTimeout,
+			DisableCompression:     true,
 		},
 	}
 }
