entry: Take a length that cannot arrive in time for a failure

A declared length that no link could carry before the time limit (100 GB/s) is a failure as soon as the head and the beginning of the body are there: the request is retried if its route allows it, and the upstream goes on trial. A large download that is only slow counts as before ("late with known length" of TestLongResponseEndsTheAttemptAtItsEnd is unchanged). The case "impossible length" of TestLongResponseThatIsNotForTheCallerCountsAgainstTheUpstream fails before: the caller's connection is cut.

--- a/proofs/endless_test.go
+++ b/proofs/endless_test.go
@@ -163,7 +163,9 @@
 		// failedBy is the second by which the first requests to the faulty upstreams have failed.
 		failedBy = 3
 	)
-	for _, fault := range []server.Fault{server.EndlessBody, server.EndlessChunks, server.EndlessHead, server.EndlessUnsigned} {
+	for _, fault := range []server.Fault{
+		server.EndlessBody, server.EndlessChunks, server.EndlessLength, server.EndlessHead, server.EndlessUnsigned,
+	} {
 		t.Run(string(fault), func(t *testing.T) {
 			t.Parallel()
 			s := newGateSiteWith(t, 1, 2)
--- a/sardinegate/entry/long_test.go
+++ b/sardinegate/entry/long_test.go
@@ -30,11 +30,18 @@
 // Guards against an upstream that goes on getting requests although it sends long responses that are not for the caller: the
 // request was served by another upstream, and the attempt counted as abandoned.
 func TestLongResponseThatIsNotForTheCallerCountsAgainstTheUpstream(t *testing.T) {
-	for name, response := range map[string]responder{"no receipt": respond(200), "error": respond(500, "Signed")} {
+	for name, c := range map[string]struct {
+		respond responder
+		length  int64
+	}{
+		"no receipt":        {respond(200), -1},
+		"error":             {respond(500, "Signed"), -1},
+		"impossible length": {served, 1e12},
+	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, map[string]responder{"b": served, "a": func(ctx context.Context, r *pool.Request) (*pool.Response, error) {
-				resp, err := response(ctx, r)
-				resp.BodyRest, resp.ContentLength = &bodyReader{ctx, 0}, -1
+				resp, err := c.respond(ctx, r)
+				resp.BodyRest, resp.ContentLength = &bodyReader{ctx, 0}, c.length
 				return resp, err
 			}})
 			if w := f.request("/safe/x", ""); w.Code != 200 {
--- a/sardinegate/entry/outcome.go
+++ b/sardinegate/entry/outcome.go
@@ -10,6 +10,10 @@
 	"sardinecross.example/sardinegate/pool"
 )
 
+// maxBodyRate is a rate, in bytes per second, that no link reaches. A body of a length that could not arrive at this rate before
+// the time limit is taken for one without end.
+const maxBodyRate = 100e9
+
 // outcome is the final response to a caller.
 type outcome struct {
 	// resp is an upstream's response; nil for a response of this host.
@@ -81,6 +85,8 @@
 		return notRun, grant.Unreached
 	case info.NotRun:
 		return notRun, grant.Shed
+	case resp.BodyRest != nil && float64(resp.ContentLength) > maxBodyRate*time.Until(c.deadline).Seconds():
+		return unknown, grant.Failed
 	case resp.Status < http.StatusMultipleChoices && !info.Signed:
 		return unknown, grant.Failed
 	case resp.Status >= http.StatusInternalServerError || statusMeansNotRun(resp.Status):
