proofs: Test the memory of hosts beside endless responses

Three of four upstreams of a service send heads, bodies (until the close, in chunks, with 1 TB declared) or answers to health checks without end, to 240 callers on two hosts for 4 s.

--- a/proofs/endless_test.go
+++ b/proofs/endless_test.go
@@ -191,3 +191,32 @@
 		})
 	}
 }
+
+// Guards against a host that runs out of memory beside upstreams that send responses, also to health checks, without end: the
+// requests of all callers on it would end with its process.
+func TestGateMemoryIsBoundedBesideEndlessResponses(t *testing.T) {
+	for _, fault := range []server.Fault{
+		server.EndlessBody, server.EndlessChunks, server.EndlessLength, server.EndlessHead, server.EndlessHealth,
+	} {
+		t.Run(string(fault), func(t *testing.T) {
+			s := newGateSiteWith(t, 1, 2)
+			ids := s.upstreamIDs("enquiry")
+			s.setFault(fault, 0, ids[1:]...)
+			l := s.startEndlessLoad(240, 20*time.Millisecond)
+			time.Sleep(4 * time.Second)
+			served, refused, broken := l.end()
+			t.Logf("%d served, %d refused, %d broken", served, refused, broken)
+			if served == 0 {
+				t.Error("no request was served beside one sound upstream")
+			}
+			for _, h := range s.hosts {
+				select {
+				case <-h.Done:
+					t.Errorf("host %s has ended", h.ID)
+				default:
+				}
+			}
+			s.assertBoundedMemory()
+		})
+	}
+}
