--- a/lib/grant/queue.go
+++ b/lib/grant/queue.go
@@ -50,7 +50,7 @@
 		if sel.Reason == NoRoom {
 			failed++
 			if len(w.request.Tried) == 0 {
-				failed = maxFailedSearches // no other request can be granted an upstream that this one may not use
+				failed = maxFailedSearches // no other request can be granted an upstream that this one may not use, but as a trial
 			}
 			if now < w.refuseAt {
 				keep = append(keep, w)
