pool: Allocate no more for a body than was taken

Hosts could use more memory for the bodies of upstreams that send without end than the pool's bound of 32 MB: bytes.Buffer.Grow allocates up to twice what is asked for, and only what was asked for was taken from the bound.

TestBufferOfABodyIsNoLargerThanWhatWasTaken shows it each time (655,360 bytes for 458,752 that were taken, at most 589,824) and passes now.

The buffer of each step is allocated with its exact size.

--- a/sardinegate/pool/endless_test.go
+++ b/sardinegate/pool/endless_test.go
@@ -6,10 +6,13 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"sardinecross.example/lib/common/limit"
 )
 
 // endless returns a handler that reads one request, writes head with ID in place of $ID, and then writes rest again and
@@ -63,6 +66,26 @@
 	}
 }
 
+// Guards against bodies for which more memory is allocated than was taken from that of the pool, so that many of them exceed its bound.
+func TestBufferOfABodyIsNoLargerThanWhatWasTaken(t *testing.T) {
+	for _, memory := range []int64{0, bodyStep, 3 * bodyStep, 7 * bodyStep, maxBufferedTotal} {
+		p := newPool(t)
+		p.memory = limit.NewMemory(memory)
+		body, taken, whole, err := p.readBody(&http.Response{ContentLength: -1, Body: io.NopCloser(zeros{})})
+		if err != nil || whole {
+			t.Fatalf("whole %t, error %v, want the beginning of a body", whole, err)
+		}
+		if limit := int(taken) + 2*bodyStep; cap(body) > limit {
+			t.Errorf("a buffer of %d bytes for %d that were taken, want at most %d", cap(body), taken, limit)
+		}
+	}
+}
+
+// zeros is a reader without end.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
 // Guards against a host that runs out of memory because many upstreams send bodies without end, and against a body that
 // looks complete although it was broken off.
 func TestEndlessBodiesTakeBoundedMemory(t *testing.T) {
--- a/sardinegate/pool/pool.go
+++ b/sardinegate/pool/pool.go
@@ -320,7 +320,9 @@
 		}
 		taken += end
 		end = min(2*end, maxBufferedResponse+1)
-		buf.Grow(int(end) - buf.Len() + bytes.MinRead)
+		// A buffer that grows by itself would take up to twice the memory.
+		larger := make([]byte, 0, end+bytes.MinRead)
+		buf = bytes.NewBuffer(append(larger, buf.Bytes()...))
 	}
 }
 
