watch: Copy long records from hosts that have copied them

Hosts that wait for a hanging call to the store did not copy from others before its time limit of 2 s. Then all copied from the same host, whose link carried none of the copies within their second, and read the store at once.

A host now copies as soon as what it knows is older than any host lets it become, also while a call hangs. A host serves one copy at a time and refuses others at once, so each transfer takes the whole link, and each receiver tells its new position and serves the next. Hosts ask in orders of their own. The send buffer of these connections is small, so that a copy counts until it has arrived.

Pauses of random length between calls to the store did not help (up to 2.25 s) and were dropped.

--- a/sardinegate/listen.go
+++ b/sardinegate/listen.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"sardinecross.example/lib/fleet"
@@ -29,6 +32,8 @@
 	// readHeaderTimeout and idleTimeout apply to connections from the platform and from other hosts, not from callers.
 	readHeaderTimeout = 30 * time.Second
 	idleTimeout       = 90 * time.Second
+	// sendBufferBytes is the size of the send buffer of connections on which other hosts copy what this host knows.
+	sendBufferBytes = 16 << 10
 )
 
 // listen opens the listeners of the host and starts to serve them.
@@ -54,7 +59,7 @@
 		if l.addr == "" {
 			continue
 		}
-		ln, err := net.Listen("tcp4", l.addr)
+		ln, err := listenerConfig(l.handler == g.watcher).Listen(context.Background(), "tcp4", l.addr)
 		if err != nil {
 			return fmt.Errorf("open listener: %w", err)
 		}
@@ -63,6 +68,22 @@
 	return nil
 }
 
+// listenerConfig returns the configuration of a listener. With smallSendBuffer, a write returns only when all but the last
+// sendBufferBytes of it are on their way, so that the server knows how long a transfer takes.
+func listenerConfig(smallSendBuffer bool) *net.ListenConfig {
+	cfg := &net.ListenConfig{}
+	if smallSendBuffer {
+		cfg.Control = func(_, _ string, c syscall.RawConn) error {
+			var setErr error
+			err := c.Control(func(fd uintptr) {
+				setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBufferBytes)
+			})
+			return errors.Join(err, setErr)
+		}
+	}
+	return cfg
+}
+
 // serveListener serves ln in the background until shutdown. A nil handler means that callers connect there.
 func (g *gate) serveListener(ln net.Listener, h http.Handler) {
 	serve := g.callerServer.Serve
--- a/sardinegate/watch/peers_test.go
+++ b/sardinegate/watch/peers_test.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -9,8 +10,28 @@
 	"time"
 
 	"sardinecross.example/lib/fleet"
+	"sardinecross.example/sardinegate/mesh"
 )
 
+// Guards against a host whose link is shared by so many copies of what it knows that none arrives in time.
+func TestFurtherCopiesAreRefusedWhileOneIsServed(t *testing.T) {
+	w := startWatcher(t, newMemorySource())
+	done, ok := w.beginServing()
+	if !ok {
+		t.Fatal("the first copy is refused")
+	}
+	for _, want := range []int{http.StatusServiceUnavailable, http.StatusOK} {
+		recorder := httptest.NewRecorder()
+		w.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, snapshotPath, nil))
+		if recorder.Code != want {
+			t.Errorf("a copy gets status %d, want %d", recorder.Code, want)
+		}
+		if want == http.StatusServiceUnavailable {
+			done()
+		}
+	}
+}
+
 // Guards against a host that takes a copy for newer than it is, because the copy was long on the way or its sender was frozen:
 // it would not read the store in time and use upstreams that have left.
 func TestAgeOfACopyCountsFromItsRequest(t *testing.T) {
@@ -33,7 +54,8 @@
 	broken.broken = true
 	receiver := startWatcher(t, broken)
 	addr := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
-	if err := receiver.copyFromHost(t.Context(), "h", addr); err != nil {
+	receiver.fetch = func(ctx context.Context, _ mesh.Member) ([]byte, error) { return receiver.requestSnapshot(ctx, addr) }
+	if err := receiver.copyFromHost(t.Context(), mesh.Member{Host: "h"}); err != nil {
 		t.Fatal(err)
 	}
 	if !receiver.complete() {
--- a/sardinegate/watch/watch.go
+++ b/sardinegate/watch/watch.go
@@ -52,6 +52,12 @@
 	done       sync.WaitGroup
 	view       atomic.Pointer[fleet.View]
 	hostClient *httpc.Client
+	// fetch returns the encoded snapshot of another host.
+	fetch func(ctx context.Context, m mesh.Member) ([]byte, error)
+	// serving has one element for each snapshot that is being served to another host.
+	serving chan struct{}
+	// copying is locked while this host copies from others.
+	copying sync.Mutex
 
 	// StoreCalls counts calls to the store, FailedStoreCalls those that failed.
 	StoreCalls, FailedStoreCalls atomic.Int64
@@ -78,7 +84,9 @@
 	w := &Watcher{
 		deps: deps, start: time.Now(), hostClient: httpc.New(1),
 		list: fleet.NewList(), operatorRecords: make(map[string]fleet.Record), lastFailure: -outageWindow,
+		serving: make(chan struct{}, maxServed),
 	}
+	w.fetch = func(ctx context.Context, m mesh.Member) ([]byte, error) { return w.requestSnapshot(ctx, m.Address()) }
 	w.view.Store(&fleet.View{})
 	return w
 }
@@ -91,6 +99,7 @@
 	w.done.Go(func() { w.follow(ctx, w.upstreamStream()) })
 	w.done.Go(func() { w.announce(ctx) })
 	w.done.Go(func() { w.join(ctx) })
+	w.done.Go(func() { w.catchUp(ctx) })
 }
 
 // Close stops the watcher and waits until its goroutines have ended.
