grant: Count silence until the time limit as a failure in the row

An attempt that is given up at its time limit without any byte was reported as abandoned, which says nothing about the upstream; health checks were answered, and an order can't be hedged.

Such an attempt has the outcome TimedOut and counts in the row of failures that leads to a trial, if the whole request had been sent and the attempt took more than four times the upstream's usual time. Weighed: a caller that sends its body slowly, one that leaves, or a limit that is too short for any upstream says nothing about this one. It does not count in the failure rate. An owner of an earlier version rejects the message of the new outcome; the attempt there then expires one second after its limit, and the slot is kept for that second.

--- a/lib/grant/request.go
+++ b/lib/grant/request.go
@@ -23,6 +23,9 @@
 	Abandoned
 	// Unused means that the host did not send the granted attempt.
 	Unused
+	// TimedOut means that no byte of a response had arrived at the time limit. Owners of earlier versions reject the message, and the
+	// attempt there expires a second later.
+	TimedOut
 )
 
 // AttemptID identifies an attempt by the host that asked for it and a sequence number of that host.
--- a/lib/grant/state.go
+++ b/lib/grant/state.go
@@ -156,7 +156,11 @@
 	u.updateWorkDone(now)
 	a, ok := u.attempts[d.ID]
 	delete(u.attempts, d.ID)
-	u.trials.record(now, d.Outcome, ok && a.isTrial)
+	o := d.Outcome
+	if o == TimedOut && (!ok || !s.service(u.Service).overdue(u, a)) {
+		o = Abandoned // the limit may be too short for any upstream
+	}
+	u.trials.record(now, o, ok && a.isTrial)
 	if d.Report != nil {
 		s.RecordReport(now, d.Upstream, *d.Report, false, false)
 	}
@@ -170,7 +174,7 @@
 		u.recordFailure(now, 1)
 	case Shed:
 		u.recordFailure(now, 0.5)
-	case Abandoned, Unused:
+	case Abandoned, Unused, TimedOut:
 	}
 }
 
--- a/lib/grant/trial.go
+++ b/lib/grant/trial.go
@@ -10,6 +10,9 @@
 	// which bounds how long an upstream that works again may stay without requests.
 	minTrialPause = 250 * time.Millisecond
 	maxTrialPause = 4 * time.Second
+	// overdueFactor is the multiple of the usual response time of an upstream after which an attempt that timed out counts as a
+	// failure.
+	overdueFactor = 4
 )
 
 // trials holds the failures of an upstream and the schedule of its trials. An upstream whose attempts fail in a row is on
@@ -29,7 +32,7 @@
 	switch o {
 	case Served:
 		*t = trials{}
-	case Failed, Unreached:
+	case Failed, Unreached, TimedOut:
 		t.failuresInRow++
 		if isTrial {
 			t.pause = min(2*t.pause, maxTrialPause)
@@ -42,6 +45,11 @@
 	}
 }
 
+// overdue reports whether an attempt has lasted for much longer than the upstream usually takes, at the speed of its machine.
+func (svc *service) overdue(u *upstream, a *attempt) bool {
+	return u.workDone-a.workAtStart > overdueFactor*svc.averageTime.Seconds()*u.timeRatio
+}
+
 // trialUse tells for which requests an upstream may be selected.
 type trialUse uint8
 
--- a/lib/grant/trial_test.go
+++ b/lib/grant/trial_test.go
@@ -25,6 +25,7 @@
 type faultySite struct {
 	*State
 	timeout time.Duration
+	outcome Outcome // of the requests at the first two
 	pending []pendingAttempt
 	broken  int
 	// failed counts the failures of an upstream since it last served a request, and afterFailure the most requests that it
@@ -55,7 +56,7 @@
 	}
 	p := pendingAttempt{AttemptEnd{ID: id, Upstream: sel.Upstream, Outcome: Served}, now + 20*time.Millisecond}
 	if sel.Upstream == "a" || sel.Upstream == "b" {
-		p.end.Outcome, p.at = Failed, now+f.timeout
+		p.end.Outcome, p.at = f.outcome, now+f.timeout
 	}
 	f.inFlight[sel.Upstream]++
 	if f.failed[sel.Upstream] >= maxFailuresInRow {
@@ -74,7 +75,7 @@
 		}
 		f.EndAttempt(now, p.end)
 		f.inFlight[p.end.Upstream]--
-		if p.end.Outcome == Failed {
+		if p.end.Outcome != Served {
 			f.broken++
 			f.failed[p.end.Upstream]++
 		} else {
@@ -91,16 +92,22 @@
 // requests at once, each time that their failures were forgotten.
 func TestFailingUpstreamsGetOneRequestAtATime(t *testing.T) {
 	const slots, faulty, lasting, timeout = 4, 2, 30 * time.Second, 2 * time.Second
-	for name, once := range map[string]bool{"safe requests": false, "orders": true} {
+	for name, c := range map[string]struct {
+		once    bool
+		outcome Outcome
+	}{
+		"safe requests": {false, Failed}, "orders": {true, Failed}, "orders without an answer": {true, TimedOut},
+	} {
 		t.Run(name, func(t *testing.T) {
 			f := &faultySite{
+				outcome: c.outcome,
 				State:   newState(t, upstreamIn("a", passau), upstreamIn("b", passau), upstreamIn("c", passau), upstreamIn("d", landshut)),
 				timeout: timeout, failed: make(map[string]int), inFlight: make(map[string]int),
 			}
 			for now := time.Duration(0); now < lasting; now += 5 * time.Millisecond {
 				f.endDue(now)
 				req := repeatable()
-				req.Once = once
+				req.Once = c.once
 				f.send(now, req)
 			}
 			t.Logf("%d broken, %d served, %d refused", f.broken, f.served, f.refused)
@@ -201,3 +208,19 @@
 		t.Errorf("requests granted by upstream: %v, want 3 each", granted)
 	}
 }
+
+// Guards against sound upstreams that go on trial because callers set time limits that no upstream can keep.
+func TestShortTimeLimitsAreNoFailures(t *testing.T) {
+	s := newState(t, upstreamIn("a", passau), upstreamIn("b", landshut))
+	now := time.Duration(0)
+	for range 10 {
+		req := repeatable()
+		req.Tried = []string{"b"}
+		assertGranted(t, s.Decide(now, 0, req), "a")
+		now += 50 * time.Millisecond
+		s.EndAttempt(now, AttemptEnd{ID: req.ID, Upstream: "a", Outcome: TimedOut})
+	}
+	if s.byID["a"].trials.active() {
+		t.Error("the upstream is on trial")
+	}
+}
--- a/proofs/endless_test.go
+++ b/proofs/endless_test.go
@@ -33,18 +33,19 @@
 
 // endlessLoad counts the outcomes of requests by the second in which they began.
 type endlessLoad struct {
-	s     *gateSite
-	begun time.Time
-	stop  chan struct{}
-	wg    sync.WaitGroup
+	s       *gateSite
+	service string
+	begun   time.Time
+	stop    chan struct{}
+	wg      sync.WaitGroup
 
 	mu                      sync.Mutex
 	served, refused, broken []int
 }
 
-// startEndlessLoad starts callers of the service enquiry, each with a connection of its own and a pause between its requests.
-func (s *gateSite) startEndlessLoad(n int, pause time.Duration) *endlessLoad {
-	l := &endlessLoad{s: s, begun: time.Now(), stop: make(chan struct{})}
+// startEndlessLoad starts callers of a service, each with a connection of its own and a pause between its requests.
+func (s *gateSite) startEndlessLoad(service string, n int, pause time.Duration) *endlessLoad {
+	l := &endlessLoad{s: s, service: service, begun: time.Now(), stop: make(chan struct{})}
 	for i := range n {
 		l.wg.Go(func() {
 			for {
@@ -87,9 +88,13 @@
 	defer nc.Close()
 	_ = nc.SetDeadline(time.Now().Add(5 * time.Second))
 	id := fmt.Sprintf("r%d", l.s.lastRequestNumber.Add(1))
-	target := "/enquiry/item?of=" + id
+	target := "/" + l.service + "/item?of=" + id
 	call := callers.RawCall{ID: id, Method: http.MethodGet, Target: target, Host: users.RouteHost, Limit: 2 * time.Second}
-	if _, err := io.WriteString(nc, call.Head()+"\r\n"); err != nil {
+	order := ""
+	if l.service == users.OrderService {
+		call.Method, order = http.MethodPost, orderText
+	}
+	if _, err := fmt.Fprintf(nc, "%sContent-Length: %d\r\n\r\n%s", call.Head(), len(order), order); err != nil {
 		return 0, false
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
@@ -101,7 +106,7 @@
 	if err == nil {
 		_, err = io.Copy(io.Discard, resp.Body)
 	}
-	return resp.StatusCode, err == nil && callers.Verified(resp, body, id, target, 0)
+	return resp.StatusCode, err == nil && callers.Verified(resp, body, id, target, len(order))
 }
 
 // end ends the load and logs the outcomes by second.
@@ -118,11 +123,11 @@
 	return sum(l.served), sum(l.refused), sum(l.broken)
 }
 
-// firstUpstreams returns the first of the upstreams of the service enquiry in each data centre.
-func (s *gateSite) firstUpstreams() []string {
+// firstUpstreams returns the first of the upstreams of a service in each data centre.
+func (s *gateSite) firstUpstreams(service string) []string {
 	s.T.Helper()
 	upstreams := s.platformStats().Upstreams
-	return []string{upstreams["enquiry/passau"][0], upstreams["enquiry/landshut"][0]}
+	return []string{upstreams[service+"/passau"][0], upstreams[service+"/landshut"][0]}
 }
 
 // assertBoundedMemory checks the largest memory that each host has used so far.
@@ -165,13 +170,18 @@
 	)
 	for _, fault := range []server.Fault{
 		server.EndlessBody, server.EndlessChunks, server.EndlessLength, server.EndlessHead, server.EndlessUnsigned,
+		server.Silent,
 	} {
 		t.Run(string(fault), func(t *testing.T) {
 			t.Parallel()
+			service := "enquiry"
+			if fault == server.Silent {
+				service = users.OrderService // a safe request is saved by a hedge
+			}
 			s := newGateSiteWith(t, 1, 2)
-			l := s.startEndlessLoad(16, 100*time.Millisecond)
+			l := s.startEndlessLoad(service, 16, 100*time.Millisecond)
 			time.Sleep(time.Second)
-			s.setFault(fault, 0, s.firstUpstreams()...)
+			s.setFault(fault, 0, s.firstUpstreams(service)...)
 			time.Sleep(lasting)
 			served, refused, broken := l.end()
 			bound := faulty * (1 + int((1+lasting/time.Second-failedBy)*time.Second/endlessRouteTimeout))
@@ -202,7 +212,7 @@
 			s := newGateSiteWith(t, 1, 2)
 			ids := s.upstreamIDs("enquiry")
 			s.setFault(fault, 0, ids[1:]...)
-			l := s.startEndlessLoad(240, 20*time.Millisecond)
+			l := s.startEndlessLoad("enquiry", 240, 20*time.Millisecond)
 			time.Sleep(4 * time.Second)
 			served, refused, broken := l.end()
 			t.Logf("%d served, %d refused, %d broken", served, refused, broken)
--- a/sardinegate/entry/entry_test.go
+++ b/sardinegate/entry/entry_test.go
@@ -507,7 +507,7 @@
 	for answering, want := range map[time.Duration]grant.Outcome{
 		0: grant.Abandoned, 100 * time.Millisecond: grant.Abandoned, maxAnswerTime + 1: grant.Failed,
 	} {
-		_, got := classifyError(ctx, &pool.ExchangeError{AnsweringFor: answering, Answered: answering > 0, Err: io.ErrUnexpectedEOF})
+		_, got := classifyError(ctx, &pool.ExchangeError{AnsweringFor: answering, Answered: answering > 0, Err: io.ErrUnexpectedEOF}, true)
 		if got != want {
 			t.Errorf("outcome %d of an abandoned attempt that was being answered for %v, want %d", got, answering, want)
 		}
--- a/sardinegate/entry/long_test.go
+++ b/sardinegate/entry/long_test.go
@@ -54,3 +54,29 @@
 		})
 	}
 }
+
+// Guards against an upstream that goes on getting orders although it answers none of them, and against one that is avoided
+// because a caller sent its request slowly or left.
+func TestSilenceUntilTheTimeLimitCountsAgainstTheUpstream(t *testing.T) {
+	late, cancel := context.WithTimeout(t.Context(), 0)
+	defer cancel()
+	left, leave := context.WithCancel(t.Context())
+	leave()
+	for name, c := range map[string]struct {
+		ctx       context.Context
+		answering time.Duration
+		sent      bool
+		want      grant.Outcome
+	}{
+		"silent":       {late, 0, true, grant.TimedOut},
+		"slow request": {late, 0, false, grant.Abandoned},
+		"caller left":  {left, 0, true, grant.Abandoned},
+		"began":        {late, time.Millisecond, true, grant.Abandoned},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if _, got := classifyError(c.ctx, &pool.ExchangeError{AnsweringFor: c.answering, Err: io.ErrUnexpectedEOF}, c.sent); got != c.want {
+				t.Errorf("outcome %d, want %d", got, c.want)
+			}
+		})
+	}
+}
--- a/sardinegate/entry/outcome.go
+++ b/sardinegate/entry/outcome.go
@@ -54,8 +54,8 @@
 }
 
 // classifyError returns the result of an attempt that ended with an error, for the request and for the host that granted
-// it.
-func classifyError(ctx context.Context, err error) (result, grant.Outcome) {
+// it. An upstream can be late only with requests that were sent whole; sent is not set if a part of the body came later.
+func classifyError(ctx context.Context, err error, sent bool) (result, grant.Outcome) {
 	var unreached *pool.ConnectError
 	var busy *pool.ConnLimitError
 	var withheld *pool.WithheldError
@@ -70,6 +70,8 @@
 		return unsent, grant.Unreached
 	case errors.As(err, &exchange) && exchange.AnsweringFor > maxAnswerTime:
 		return unknown, grant.Failed
+	case sent && errors.Is(ctx.Err(), context.DeadlineExceeded) && errors.As(err, &exchange) && exchange.AnsweringFor == 0:
+		return unknown, grant.TimedOut
 	case ctx.Err() != nil:
 		return unknown, grant.Abandoned
 	}
--- a/sardinegate/entry/run.go
+++ b/sardinegate/entry/run.go
@@ -275,7 +275,7 @@
 	a.took, a.resp, a.err = time.Since(a.start), resp, err
 	end := grant.AttemptEnd{Took: a.took}
 	if err != nil {
-		a.result, end.Outcome = classifyError(ctx, err)
+		a.result, end.Outcome = classifyError(ctx, err, c.bodyRest == nil)
 	} else {
 		a.result, end.Outcome = h.classifyResponse(c, resp)
 		if report, ok := h.deps.Codec.ParseLoad(resp.Header); ok {
--- a/sardinegate/mesh/check.go
+++ b/sardinegate/mesh/check.go
@@ -132,7 +132,7 @@
 func (c *checker) attemptEnd(from string, e *grant.AttemptEnd) {
 	c.require(e.ID.Host == from, "attempt", "is not the sender's")
 	c.name("upstream", e.Upstream)
-	c.require(e.Outcome <= grant.Unused, "outcome", "is unknown")
+	c.require(e.Outcome <= grant.TimedOut, "outcome", "is unknown")
 	c.duration("duration", e.Took)
 	if e.Report != nil {
 		c.report(e.Report)
