grace: Let requests take five sixths of a short grace

Callers would see 504 for a request from before the signal though the platform wants it finished: with a grace of less than 1.2 s, margins of up to half of it ended requests before its last sixth. Hosts with a grace of 1.6 s or more behave as before.

The last part in which no request is in flight is now at most an eighth of the grace, the part after the cut a sixteenth.

TestRequestsMayTakeFiveSixthsOfTheGrace failed before (800 ms of 1 s, 50 ms of 100 ms).

--- a/sardinegate/grace/grace.go
+++ b/sardinegate/grace/grace.go
@@ -14,8 +14,11 @@
 	acceptMargin = 2 * time.Second
 	answerMargin = 200 * time.Millisecond
 	cutMargin    = 100 * time.Millisecond
-	// longestMarginShare bounds each margin, as a share of the grace.
-	longestMarginShare = 0.5
+	// longestAcceptShare, longestAnswerShare and longestCutShare bound the margins, as shares of the grace. The platform wants
+	// requests that came before the signal to be finished unless they last into the last sixth.
+	longestAcceptShare = 1.0 / 2
+	longestAnswerShare = 1.0 / 8
+	longestCutShare    = 1.0 / 16
 )
 
 // Period is the time from the signal to stop a host until its process is killed. It is immutable.
@@ -24,20 +27,20 @@
 	length time.Duration
 }
 
-// margin returns the time at which the last part of the period begins that is d long, or shorter in a short period.
-func (p Period) margin(d time.Duration) time.Time {
-	longest := time.Duration(longestMarginShare * float64(p.length))
+// margin returns the time at which the last part of the period begins that is d long, at most a share of the period.
+func (p Period) margin(d time.Duration, share float64) time.Time {
+	longest := time.Duration(share * float64(p.length))
 	return p.begin.Add(p.length - min(d, longest))
 }
 
 // AcceptUntil returns the time until which the host accepts connections.
-func (p Period) AcceptUntil() time.Time { return p.margin(acceptMargin) }
+func (p Period) AcceptUntil() time.Time { return p.margin(acceptMargin, longestAcceptShare) }
 
 // AnswerBy returns the time by which every request has its answer.
-func (p Period) AnswerBy() time.Time { return p.margin(answerMargin) }
+func (p Period) AnswerBy() time.Time { return p.margin(answerMargin, longestAnswerShare) }
 
 // CutAt returns the time at which connections that are still open are cut.
-func (p Period) CutAt() time.Time { return p.margin(cutMargin) }
+func (p Period) CutAt() time.Time { return p.margin(cutMargin, longestCutShare) }
 
 // Stop tells whether a host is being stopped, and what it can still finish. It is safe for concurrent use.
 type Stop struct {
--- a/sardinegate/grace/grace_test.go
+++ b/sardinegate/grace/grace_test.go
@@ -60,6 +60,17 @@
 	}
 }
 
+// Guards against a short grace in which requests that came before the signal are ended before its last sixth, up to which the platform
+// wants requests to be finished.
+func TestRequestsMayTakeFiveSixthsOfTheGrace(t *testing.T) {
+	for _, length := range []time.Duration{100 * time.Millisecond, time.Second, 1200 * time.Millisecond, 3 * time.Second, length} {
+		now := time.Now()
+		if end := (Period{now, length}).AnswerBy().Sub(now); end < length*5/6 {
+			t.Errorf("grace %v: requests are ended %v after the signal, want %v or later", length, end, length*5/6)
+		}
+	}
+}
+
 // Guards against requests in flight that are not ended before the process is killed.
 func TestContextEndsBeforeTheGrace(t *testing.T) {
 	s := New()
