pool: Replace an idle connection that has closed before the request is sent

Callers would see 502 for an order of which nothing was sent: its upstream closed an idle connection, as one that drains or ends its keep-alive time does, between the moment in which the pool took the connection and the one in which the request is registered on it. In between the broker is asked whether the upstream accepts requests, which takes time on a busy host. The exchange counted as one that may have run, so that an order got no second attempt.

The pool now takes another connection, as nothing was sent; a new one that closes at once counts as not established. What closes after the request is registered still counts as "may have run".

--- a/sardinegate/pool/pool.go
+++ b/sardinegate/pool/pool.go
@@ -218,14 +218,10 @@
 
 // Do sends a request once and returns its response. If ctx ends before the response is complete, the connection closes.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c, err := p.acquire(ctx, r.Address)
+	c, err := p.prepare(ctx, r)
 	if err != nil {
 		return nil, err
 	}
-	if r.MaySend != nil && !r.MaySend() {
-		c.close()
-		return nil, &WithheldError{r.Address}
-	}
 	stop := context.AfterFunc(ctx, c.close)
 	resp, err := p.roundTrip(ctx, c, r, stop)
 	if err != nil {
@@ -237,12 +233,29 @@
 	return resp, nil
 }
 
+// prepare returns a connection on which the response to r is awaited. Nothing is sent before, so that another one can replace an idle
+// connection that its upstream has closed meanwhile.
+func (p *Pool) prepare(ctx context.Context, r *Request) (*conn, error) {
+	for {
+		c, err := p.acquire(ctx, r.Address)
+		if err != nil {
+			return nil, err
+		}
+		if r.MaySend != nil && !r.MaySend() {
+			c.close()
+			return nil, &WithheldError{r.Address}
+		}
+		if c.expectResponse(&http.Request{Method: r.Method}) {
+			return c, nil
+		}
+		if !c.reused {
+			return nil, &ConnectError{r.Address, net.ErrClosed}
+		}
+	}
+}
+
 // roundTrip sends r over c and reads the response. stop detaches c from the context.
 func (p *Pool) roundTrip(ctx context.Context, c *conn, r *Request, stop func() bool) (*Response, error) {
-	req := &http.Request{Method: r.Method}
-	if !c.expectResponse(req) {
-		return nil, net.ErrClosed
-	}
 	var body io.Reader
 	if len(r.Body) > 0 {
 		body = bytes.NewReader(r.Body)
--- a/sardinegate/pool/pool_test.go
+++ b/sardinegate/pool/pool_test.go
@@ -211,6 +211,47 @@
 	}
 }
 
+// Guards against giving up a request as one that may have run, though nothing of it was sent: its upstream closes an idle connection
+// that the request has just been given.
+func TestRequestIsSentAfterAnIdleConnectionCloses(t *testing.T) {
+	p := newPool(t)
+	closeIdle, closed := make(chan struct{}), make(chan struct{})
+	addr := startUpstream(t, func(_ *testing.T, nc net.Conn, br *bufio.Reader, conn int) {
+		if id, ok := readRequestID(br); ok {
+			respond(nc, id, "x")
+		}
+		if conn == 0 {
+			<-closeIdle
+			_ = nc.Close()
+			close(closed)
+		}
+	})
+	assertBody(t, p, newRequest(addr, "1"), "x")
+	r := newRequest(addr, "2")
+	asked := 0
+	r.MaySend = func() bool {
+		if asked++; asked == 1 {
+			close(closeIdle)
+			<-closed
+			for p.openConnections(addr) > 0 {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		return true
+	}
+	assertBody(t, p, r, "x")
+	if asked != 2 {
+		t.Errorf("asked %d times whether to send, want once for each connection", asked)
+	}
+}
+
+// openConnections returns the number of open connections to an upstream.
+func (p *Pool) openConnections(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.openCount[address]
+}
+
 // Guards against reusing a connection whose upstream responded before it had read the request body: the next request
 // would be written in place of the rest of that body.
 func TestEarlyResponseClosesTheConnection(t *testing.T) {
