--- a/proofs/stop_test.go
+++ b/proofs/stop_test.go
@@ -31,7 +31,7 @@
 
 // stopCall is one request to the host that is stopped, and what came of it.
 type stopCall struct {
-	id          string
+	id, host    string
 	order       bool
 	body        string // of an order
 	work, limit time.Duration
@@ -73,9 +73,9 @@
 	return l.calls
 }
 
-// addCall gives a request its ID and keeps it.
+// addCall gives a request its ID and its host, and keeps it.
 func (l *stopLoad) addCall(c *stopCall) *stopCall {
-	c.id = fmt.Sprintf("s%d", l.s.lastRequestNumber.Add(1))
+	c.id, c.host = fmt.Sprintf("s%d", l.s.lastRequestNumber.Add(1)), l.h.ID
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls = append(l.calls, c)
@@ -206,8 +206,8 @@
 		case c.status == 0 && !passedOn[c.id] && c.ended.Sub(c.sent) < lossSlack:
 		case errors.Is(c.err, errBehindClose) && !passedOn[c.id]:
 		default:
-			lost = append(lost, fmt.Sprintf("request %s (order %t, work %v, limit %v, download of %d bytes, no length %t, pipelined %t, passed on %t), sent %v after SIGTERM, ended %v after it: status %d, %v",
-				c.id, c.order, c.work, c.limit, c.size, c.noLength, c.pipelined, passedOn[c.id], c.sent.Sub(stopped), c.ended.Sub(stopped), c.status, c.err))
+			lost = append(lost, fmt.Sprintf("request %s to %s (order %t, work %v, limit %v, download of %d bytes, no length %t, pipelined %t, passed on %t), sent %v after SIGTERM, ended %v after it: status %d, %v",
+				c.id, c.host, c.order, c.work, c.limit, c.size, c.noLength, c.pipelined, passedOn[c.id], c.sent.Sub(stopped), c.ended.Sub(stopped), c.status, c.err))
 		}
 	}
 	return lost
