proofs: Say how late hosts handle the signal to stop

The series of stops prints the longest time from SIGTERM to the host's log line on it, so that a stop that ends late can be told from one that began late.

--- a/proofs/stopseries_test.go
+++ b/proofs/stopseries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -33,9 +34,10 @@
 // seriesHost is a host with its load and its stops.
 type seriesHost struct {
 	*gateHost
-	load   *stopLoad
-	starts int
-	stops  []time.Time
+	load  *stopLoad
+	stops []time.Time
+	// outputs are the names of the files with the output of its processes, in the order of stops.
+	outputs []string
 }
 
 // stopSeries is a plan of stops and other events, played in one goroutine.
@@ -147,10 +149,11 @@
 // start starts a host again. The output of its former process is kept.
 func (p *stopSeries) start(h *seriesHost) {
 	<-h.Done
-	h.starts++
-	if err := os.Rename(h.Output.Name(), fmt.Sprintf("%s.%d", h.Output.Name(), h.starts)); err != nil {
+	kept := fmt.Sprintf("%s.%d", h.Output.Name(), len(h.outputs)+1)
+	if err := os.Rename(h.Output.Name(), kept); err != nil {
 		p.s.T.Fatal(err)
 	}
+	h.outputs = append(h.outputs, kept)
 	p.s.startHost(h.gateHost)
 }
 
@@ -192,9 +195,10 @@
 		h.load.wait()
 	}
 	seen := p.s.platformStats()
-	stops, counts := 0, newOutcomeCounts(seen)
+	stops, longestDelay, counts := 0, time.Duration(0), newOutcomeCounts(seen)
 	for _, h := range p.hosts {
 		stops += len(h.stops)
+		longestDelay = max(longestDelay, h.longestSignalDelay())
 		for stopped, calls := range h.callsByStop() {
 			assertNoneLost(t, calls, seen, stopped, p.timeout)
 			counts.add(calls, stopped)
@@ -202,7 +206,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t.Logf("%d hosts, %d stops, the longest %v; %s", len(p.hosts), stops, p.longestStop, counts)
+	t.Logf("%d hosts, %d stops, the longest %v, signals handled after up to %v; %s", len(p.hosts), stops, p.longestStop, longestDelay, counts)
 	if counts.servedAfterStop == 0 {
 		t.Error("no request that came after SIGTERM was served")
 	}
@@ -212,6 +216,24 @@
 	}
 }
 
+// longestSignalDelay returns the longest time from a SIGTERM to the host's log line on it.
+func (h *seriesHost) longestSignalDelay() time.Duration {
+	var longest time.Duration
+	for i, output := range append(slices.Clone(h.outputs), h.Output.Name()) {
+		data, _ := os.ReadFile(output)
+		for line := range bytes.Lines(data) {
+			var logged struct {
+				Time time.Time
+				Msg  string
+			}
+			if json.Unmarshal(line, &logged) == nil && logged.Msg == "stop" && i < len(h.stops) {
+				longest = max(longest, logged.Time.Sub(h.stops[i]))
+			}
+		}
+	}
+	return longest
+}
+
 // callsByStop returns the requests to a host by the last SIGTERM before they ended; the zero time if there was none.
 func (h *seriesHost) callsByStop() map[time.Time][]*stopCall {
 	calls := make(map[time.Time][]*stopCall)
