grant: Keep sound upstreams from trials, and trials from waiting for others

Found in review of the trials, before any landing. Callers would have been refused (noRoom) although capacity was there: - One event, such as a reset of the connections of a machine, broke all requests in flight at sound upstreams, which then were on trial. Failures of requests that were sent before the last served response do not count now. - A trial that was due did not begin while the sound upstreams were full. A due trial is now taken before a request is refused. - A long response, or an attempt whose end message was lost, held up the trials of its upstream, for up to 31 s. Only a trial does so now.

TestRequestsThatBreakTogetherAreNoTrial, TestTrialThatIsDueIsUsedBesideFullUpstreams and TestLongAttemptDoesNotHoldUpTrials fail on the code before. TestFailingUpstreamsGetOneRequestAtATime breaks as many requests as before (12, 12 and 15). The comment on trials of last attempts now says what the code does.

--- a/lib/grant/pick.go
+++ b/lib/grant/pick.go
@@ -100,7 +100,8 @@
 // selectUpstream returns the upstream with the least expected cost and its expected response time. The cost is the
 // response time plus a charge for another data centre. A single upstream may work above its knee (see kneeSlots) if
 // that is quicker than the others, but all usable upstreams together may not. full reports whether capacity was
-// lacking: a usable upstream had no free slot or was on trial, or all together had reached their knee.
+// lacking: a usable upstream had no free slot or was on trial, or all others together had reached their knee. A trial that is due does
+// not need room at the others.
 func (s *State) selectUpstream(now time.Duration, rnd float64, svc *service, req *AttemptRequest) (best *upstream, eta time.Duration, full bool) {
 	crossCost := s.cfg.CrossDataCentreCost
 	if req.Bulk {
@@ -110,7 +111,7 @@
 	bestCost, belowKnee := 0.0, 0
 	n := len(svc.upstreams)
 	allDead, sound := s.alternatives(now, svc, req.ID.Host)
-	var last *upstream // one for which the request may be a trial as a last resort
+	var trial *upstream // one for which the request may be a trial if the others have no room
 	for i := range n {
 		u := svc.upstreams[(i+int(rnd*float64(n)))%n]
 		if !s.usable(now, svc, u, req) || u.dead(now) && !allDead {
@@ -125,11 +126,10 @@
 			full = true
 			continue
 		}
-		if use != anyUse {
-			belowKnee++
+		if use == trialOnly || use == lastResort && trial == nil {
+			trial = u
 		}
 		if use == lastResort {
-			last = u
 			continue
 		}
 		t := svc.responseTime(now, u)
@@ -141,8 +141,8 @@
 			best, bestCost, eta = u, cost, t
 		}
 	}
-	if best == nil && last != nil {
-		best, eta = last, svc.responseTime(now, last)
+	if trial != nil && (best == nil || belowKnee <= 0) {
+		return trial, svc.responseTime(now, trial), full
 	}
 	if belowKnee <= 0 {
 		return nil, 0, best != nil || full
--- a/lib/grant/state.go
+++ b/lib/grant/state.go
@@ -156,11 +156,7 @@
 	u.updateWorkDone(now)
 	a, ok := u.attempts[d.ID]
 	delete(u.attempts, d.ID)
-	o := d.Outcome
-	if o == TimedOut && (!ok || !s.service(u.Service).overdue(u, a)) {
-		o = Abandoned // the limit may be too short for any upstream
-	}
-	u.trials.record(now, o, ok && a.isTrial)
+	u.trials.record(now, s.trialOutcome(u, a, d.Outcome), a)
 	if d.Report != nil {
 		s.RecordReport(now, d.Upstream, *d.Report, false, false)
 	}
--- a/lib/grant/trial.go
+++ b/lib/grant/trial.go
@@ -19,7 +19,8 @@
 // trial until it has served a request: it gets one request at a time, with a pause before each, while another upstream of the
 // service is sound. Else each return of the upstream to the selection would cost as many requests as it has slots.
 type trials struct {
-	failuresInRow int           // since the last served request
+	servedAt      time.Duration // when the last request was served
+	failuresInRow int           // of requests that were sent since then
 	pause         time.Duration // before the next trial
 	nextAt        time.Duration // when the next trial may start
 }
@@ -27,14 +28,17 @@
 // active reports whether the upstream is on trial.
 func (t *trials) active() bool { return t.failuresInRow >= maxFailuresInRow }
 
-// record records the end of an attempt. isTrial is set if the attempt began as a trial.
-func (t *trials) record(now time.Duration, o Outcome, isTrial bool) {
+// record records the end of an attempt; a is nil if it is not known any more.
+func (t *trials) record(now time.Duration, o Outcome, a *attempt) {
 	switch o {
 	case Served:
-		*t = trials{}
+		*t = trials{servedAt: now}
 	case Failed, Unreached, TimedOut:
+		if a != nil && a.startedAt < t.servedAt {
+			return // one event may break all requests in flight at a sound upstream
+		}
 		t.failuresInRow++
-		if isTrial {
+		if a != nil && a.isTrial {
 			t.pause = min(2*t.pause, maxTrialPause)
 		}
 		t.pause = max(t.pause, minTrialPause)
@@ -45,6 +49,15 @@
 	}
 }
 
+// trialOutcome returns the outcome of an attempt for the trials of its upstream. Nothing can be said of an attempt that timed out
+// early, as its limit may be too short for any upstream.
+func (s *State) trialOutcome(u *upstream, a *attempt, o Outcome) Outcome {
+	if o == TimedOut && (a == nil || !s.service(u.Service).overdue(u, a)) {
+		return Abandoned
+	}
+	return o
+}
+
 // overdue reports whether an attempt has lasted for much longer than the upstream usually takes, at the speed of its machine.
 func (svc *service) overdue(u *upstream, a *attempt) bool {
 	return u.workDone-a.workAtStart > overdueFactor*svc.averageTime.Seconds()*u.timeRatio
@@ -56,7 +69,7 @@
 const (
 	// anyUse means that the upstream is not on trial, or that no other one is sound.
 	anyUse trialUse = iota
-	// trialOnly means that the request may be the next trial, lastResort that it may be if no other upstream has room for it.
+	// trialOnly means that the request may be the next trial, lastResort that it may be if the others have no room for it.
 	trialOnly
 	lastResort
 	// noUse means that the request may not be a trial, or that none is due.
@@ -65,14 +78,14 @@
 
 // trialUse returns whether a request may go to an upstream. sound is set if another upstream of the service is sound.
 //
-// A trial may fail, so it is a request that can be repeated and has attempts left. A request that may run only once, or for
-// the last time, becomes a trial if no other one came for maxTrialPause: else a service with such requests alone would
-// never use the upstream again. Hedges are no trials, as they are sent to save time.
+// A trial may fail, so it is a request that can be repeated and has attempts left. One without attempts left becomes a trial if no
+// other upstream has room for it, and each, also one that may run only once, if no trial has begun for maxTrialPause: else a service
+// with such requests alone would never use the upstream again. Hedges are no trials, as they are sent to save time.
 func (u *upstream) trialUse(now time.Duration, req *AttemptRequest, sound bool) trialUse {
 	switch {
 	case !u.trials.active() || !sound:
 		return anyUse
-	case req.Hedge || len(u.attempts) > 0 || now < u.trials.nextAt:
+	case req.Hedge || u.trialInFlight() || now < u.trials.nextAt:
 		return noUse
 	case !req.Once && req.AttemptsLeft > 0, now >= u.trials.nextAt+maxTrialPause:
 		return trialOnly
@@ -82,6 +95,17 @@
 	return noUse
 }
 
+// trialInFlight reports whether a trial has not ended. Other attempts do not count: a long response, or an end that was lost, would
+// hold up the trials.
+func (u *upstream) trialInFlight() bool {
+	for _, a := range u.attempts {
+		if a.isTrial {
+			return true
+		}
+	}
+	return false
+}
+
 // alternatives returns whether all upstreams that could serve a request of the host are dead, and whether one is sound: not
 // dead, not cold and not on trial.
 func (s *State) alternatives(now time.Duration, svc *service, host string) (allDead, sound bool) {
--- a/lib/grant/trial_test.go
+++ b/lib/grant/trial_test.go
@@ -224,3 +224,58 @@
 		t.Error("the upstream is on trial")
 	}
 }
+
+// Guards against a sound upstream that goes on trial because one event, such as a reset of its connections, broke all of its requests
+// in flight.
+func TestRequestsThatBreakTogetherAreNoTrial(t *testing.T) {
+	a := upstreamIn("a", passau)
+	a.Slots = 2 * (maxFailuresInRow + 1)
+	s := newState(t, a, upstreamIn("b", landshut))
+	var inFlight []AttemptID
+	for range maxFailuresInRow + 1 {
+		req := repeatable()
+		req.Tried = []string{"b"}
+		assertGranted(t, s.tryGrant(0, 0, s.service("booking"), &req), "a")
+		inFlight = append(inFlight, req.ID)
+	}
+	s.EndAttempt(time.Second, AttemptEnd{ID: inFlight[0], Upstream: "a", Outcome: Served})
+	for _, id := range inFlight[1:] {
+		s.EndAttempt(time.Second+time.Millisecond, AttemptEnd{ID: id, Upstream: "a", Outcome: Failed})
+	}
+	if s.byID["a"].trials.active() {
+		t.Error("the upstream is on trial")
+	}
+}
+
+// Guards against an upstream that works again and gets no trial for as long as a long response of it lasts, or as an attempt whose
+// end was lost.
+func TestLongAttemptDoesNotHoldUpTrials(t *testing.T) {
+	s := newState(t, upstreamIn("a", passau), upstreamIn("b", passau))
+	long := newRequest()
+	long.Tried, long.TimeLeft = []string{"b"}, 30*time.Second
+	assertGranted(t, s.Decide(0, 0, long), "a")
+	failEach(s, 0, "a", maxFailuresInRow, Failed)
+	trial := repeatable()
+	trial.Tried = []string{"b"}
+	assertGranted(t, s.tryGrant(minTrialPause, 0, s.service("booking"), &trial), "a")
+}
+
+// Guards against requests that are refused although a trial is due, because the sound upstreams have no room.
+func TestTrialThatIsDueIsUsedBesideFullUpstreams(t *testing.T) {
+	for name, attemptsLeft := range map[string]int{"trial": 1, "last resort": 0} {
+		t.Run(name, func(t *testing.T) {
+			s := newState(t, upstreamIn("a", passau), upstreamIn("b", passau))
+			svc := s.service("booking")
+			failEach(s, 0, "a", maxFailuresInRow, Failed)
+			for range svc.upstreams[0].kneeSlots() {
+				order := newRequest()
+				order.Once = true
+				assertGranted(t, s.tryGrant(0, 0, svc, &order), "b")
+			}
+			first, second := newRequest(), newRequest()
+			first.AttemptsLeft, second.AttemptsLeft = attemptsLeft, attemptsLeft
+			assertGranted(t, s.tryGrant(minTrialPause, 0, svc, &first), "a")
+			assertRefused(t, s.tryGrant(minTrialPause, 0, svc, &second), NoRoom)
+		})
+	}
+}
