front: Test the end of a connection with a full pipeline

No request that was passed on may be left when those in flight end at the end of the grace while others wait unread behind maxPipelined. Requests that are not read yet cross the close: they are not served, and their callers send them again.

--- a/sardinegate/front/shutdown_test.go
+++ b/sardinegate/front/shutdown_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -159,3 +160,30 @@
 		t.Errorf("connection ended with %v, want its end", err)
 	}
 }
+
+// Guards against requests that were passed on and have no answer when the requests in flight end at the end of the grace, and others
+// wait behind a full pipeline: the last answer has to close the connection, and nothing may be served behind it.
+func TestServedRequestsOfAFullPipelineAreAnsweredAtTheStop(t *testing.T) {
+	stopping, begun := make(chan struct{}), make(chan struct{}, 4*maxPipelined)
+	s, nc, br := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		begun <- struct{}{}
+		<-stopping
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	writeString(t, nc, strings.Repeat(getRequest("/"), cap(begun)))
+	for len(begun) < maxPipelined {
+		time.Sleep(time.Millisecond)
+	}
+	wait := startShutdown(t, s)
+	close(stopping)
+	answered := 1
+	for !assertResponse(t, br, http.StatusServiceUnavailable, "").Close {
+		answered++
+	}
+	assertClosed(t, br)
+	_ = nc.Close()
+	wait()
+	if len(begun) != answered {
+		t.Errorf("%d requests served, %d of them answered", len(begun), answered)
+	}
+}
