soak: Play random faults on separate processes

The tests of separate processes play fixed faults, one kind at a time. proofs/soak gets the plan of a run from a seed: series of signals and restarts of each host, modes of the store, faults of upstreams and changes of the configuration, which overlap. Callers use a host until its process is gone. Afterwards the records of callers and upstreams are checked against the platform's rules. make proofs plays two seeds, make soak as many as asked for.

The checker is tested with histories that break one rule each.

--- a/Makefile
+++ b/Makefile
@@ -9,9 +9,12 @@
 # inputs has no deadline, which go test may report as a failure of the target.
 FUZZ := platform:.:FuzzRecords sardined:./peer:FuzzDecodeMessage sardinegate:./mesh:FuzzMessage sardinegate:./broker:FuzzHandle
 FUZZTIME := 200000x
+# Seeds of make soak.
+FIRST := 1
+SEEDS := 50
 export CGO_ENABLED := 1
 
-.PHONY: all build demo test lint unit fuzz model proofs bench bench-quick slopes clean FORCE
+.PHONY: all build demo test lint unit fuzz model proofs bench bench-quick slopes soak clean FORCE
 .DELETE_ON_ERROR:
 
 all: build
@@ -37,6 +40,11 @@
 
 proofs: build
 	cd proofs && go test -race -count=1 -timeout 15m $(SKIP_KNOWN_RED)
+	cd proofs/soak && go test -race -count=1 -timeout 15m $(SKIP_KNOWN_RED)
+
+# Plays random faults of SEEDS seeds from FIRST on, and prints a line for each. Not part of make test, which plays two seeds.
+soak: build
+	cd proofs/soak && go test -race -count=1 -timeout 0 -run '^TestSoak$$' -parallel 3 -soakFirst $(FIRST) -soakSeeds $(SEEDS)
 
 # Measures sites under load and compares the results with targets and baselines. Results go to out/; recorded ones are
 # in docs/measurements.md.
--- /dev/null
+++ b/proofs/soak/check.go
@@ -0,0 +1,272 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"sardinecross.example/platform/standin/server"
+	"sardinecross.example/platform/standin/users"
+)
+
+// Bounds of the platform.
+const (
+	stableWindow   = 3 * time.Second
+	drainBound     = 2 * time.Second
+	configBound    = 2 * time.Second
+	evacuateBound  = 5 * time.Second
+	lossSlack      = 200 * time.Millisecond
+	lateSend       = 3 * time.Second // after SIGTERM, until which a request to a slow upstream may be lost
+	minServedShare = 0.9             // after the last fault; stricter than the platform's quarter
+	// limitMargin is how long before its time limit or its route's timeout a host may answer a request.
+	limitMargin = 50 * time.Millisecond
+	// maxMemory bounds a process in bytes. Those of the first seeds stay below a third of it.
+	maxMemory = 64 << 20
+)
+
+// Rule is what a violation is about.
+type Rule string
+
+// Rules that are checked.
+const (
+	Twice         Rule = "TWICE"   // an order ran more than once
+	Refused       Rule = "REFUSED" // a request ran although its status says that it did not
+	Mixed         Rule = "MIXED"   // a success is not the upstream's whole response to this request
+	Unasked       Rule = "UNASKED" // a request ran that no caller sent
+	WrongRoute    Rule = "ROUTE"   // a request ran at another service
+	Denied        Rule = "DENIED"  // a proper request got a 4xx status
+	Configuration Rule = "CONFIG"  // a host did not know a route that was confirmed long before
+	Leaving       Rule = "DRAIN"   // a request reached an upstream too long after it had left
+	Evacuation    Rule = "EVAC"    // a request reached a zone too long after it was put out of service
+	Lost          Rule = "LOST"    // a request lost its answer without a fault
+	Ended         Rule = "ENDED"   // a process ended by itself, or not within its grace
+	Recovery      Rule = "RECOVER" // the site does not serve after the last fault
+	Memory        Rule = "MEMORY"  // a process needs too much memory
+	RetryBudget   Rule = "BUDGET"  // a service got more retries than allowed
+)
+
+// Violation is one violation of a rule.
+type Violation struct {
+	Rule Rule
+	// Subject is the ID of a request or a host.
+	Subject string
+	Detail  string
+}
+
+// String returns the violation as one line.
+func (v Violation) String() string { return fmt.Sprintf("%s %s: %s", v.Rule, v.Subject, v.Detail) }
+
+// checker collects violations of a history.
+type checker struct {
+	*History
+	calls    map[string]*Call
+	runs     map[string][]server.Run
+	arrivals map[string][]server.Run
+	found    []Violation
+}
+
+// Check returns the violations in a history.
+func Check(h *History) []Violation {
+	c := &checker{History: h, calls: make(map[string]*Call), runs: byID(h.Runs), arrivals: byID(h.Arrivals)}
+	for i := range h.Calls {
+		c.calls[h.Calls[i].ID] = &h.Calls[i]
+	}
+	for _, call := range h.Calls {
+		c.checkCall(call)
+		c.checkLost(call)
+	}
+	for _, r := range h.Runs {
+		c.checkRun(r)
+	}
+	for _, a := range h.Arrivals {
+		c.checkArrival(a)
+	}
+	c.checkBudget()
+	c.checkSite()
+	return c.found
+}
+
+func byID(runs []server.Run) map[string][]server.Run {
+	by := make(map[string][]server.Run)
+	for _, r := range runs {
+		if r.ID != "" {
+			by[r.ID] = append(by[r.ID], r)
+		}
+	}
+	return by
+}
+
+func (c *checker) report(r Rule, subject, format string, args ...any) {
+	c.found = append(c.found, Violation{r, subject, fmt.Sprintf(format, args...)})
+}
+
+// promisesNotRun reports whether a status promises that the request did not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// checkCall checks the response to a request against its runs.
+func (c *checker) checkCall(call Call) {
+	ran := len(c.runs[call.ID])
+	switch {
+	case call.Order && ran > 1:
+		c.report(Twice, call.ID, "ran %d times", ran)
+	case promisesNotRun(call.Status) && ran > 0:
+		c.report(Refused, call.ID, "status %d, but it ran", call.Status)
+	case call.Status/100 == 2 && (!call.Verified || ran == 0):
+		c.report(Mixed, call.ID, "status %d, ran %d times, the upstream's whole response %t", call.Status, ran, call.Verified)
+	case call.Status/100 == 3 || call.Status/100 == 4 && !promisesNotRun(call.Status):
+		if call.Added.IsZero() {
+			c.report(Denied, call.ID, "status %d from host %s", call.Status, call.Host)
+		} else if c.overdue(call.Added, call.Host, call.Begun, configBound) {
+			c.report(Configuration, call.ID, "status %d from host %s, %v after its route was confirmed",
+				call.Status, call.Host, call.Begun.Sub(call.Added))
+		}
+	}
+}
+
+// checkLost checks that a request did not lose its answer without a fault. A stop is no excuse, nor is an outage of the store.
+func (c *checker) checkLost(call Call) {
+	arrivals := c.arrivals[call.ID]
+	stopped, stopping := c.stopOf(call)
+	switch {
+	case call.Sent.IsZero(), call.GaveUp, call.Verified:
+	case call.Status != 0 && (!stopping || promisesNotRun(call.Status) || len(arrivals) == 0):
+	case call.Ended.Sub(call.Begun) >= min(call.Limit, c.Timeout)-limitMargin:
+	case len(arrivals) == 0 && call.Ended.Sub(call.Sent) < lossSlack: // it crossed the close of the connection
+	case stopping && call.Sent.Before(stopped.Add(lateSend)) && c.worksLate(call, stopped):
+	case c.disrupted(call.Begun.Add(-stableWindow), call.Ended, func(d Span) bool { return d.Host == call.Host && !d.Planned }):
+	case c.brokeOff(call):
+	default:
+		c.report(Lost, call.ID, "order %t, work %v, limit %v, host %s, %d arrivals, began %v and ended %v after SIGTERM (%t): status %d",
+			call.Order, call.Work, call.Limit, call.Host, len(arrivals), call.Begun.Sub(stopped), call.Ended.Sub(stopped), stopping, call.Status)
+	}
+}
+
+// stopOf returns when the host of a request was told to stop if the request ended during the stop.
+func (c *checker) stopOf(call Call) (time.Time, bool) {
+	for _, d := range c.Disruptions {
+		if d.Planned && d.Host == call.Host && call.Ended.After(d.From) && call.Begun.Before(d.To) {
+			return d.From, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// worksLate reports whether an upstream was at work on a request in the last sixth of the grace.
+func (c *checker) worksLate(call Call, stopped time.Time) bool {
+	for _, r := range c.runs[call.ID] {
+		if r.At.Add(call.Work).After(stopped.Add(c.Grace * 5 / 6)) {
+			return true
+		}
+	}
+	return false
+}
+
+// brokeOff reports whether an upstream that got the request had a fault, so that it may have broken off.
+func (c *checker) brokeOff(call Call) bool {
+	for _, a := range c.arrivals[call.ID] {
+		if c.disrupted(a.At, call.Ended, func(d Span) bool { return d.Upstream == a.Upstream }) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *checker) checkRun(r server.Run) {
+	call := c.calls[r.ID]
+	if call == nil {
+		c.report(Unasked, r.ID, "upstream %s ran it", r.Upstream)
+		return
+	}
+	if r.Service != call.Service {
+		c.report(WrongRoute, r.ID, "%s for service %s ran at service %s", r.Path, call.Service, r.Service)
+	}
+}
+
+// checkArrival checks that a request did not reach an upstream that had left or whose zone was out of service.
+func (c *checker) checkArrival(a server.Run) {
+	call := c.calls[a.ID]
+	if call == nil {
+		return // a health check, or it is reported with its run
+	}
+	for _, act := range c.Acts {
+		switch {
+		case !act.Back.IsZero() && a.At.After(act.Back):
+		case act.Upstream == a.Upstream && c.overdue(act.At, call.Host, a.At, drainBound):
+			c.report(Leaving, a.ID, "host %s sent it to upstream %s %v after this had left", call.Host, a.Upstream, a.At.Sub(act.At))
+		case act.Zone != "" && act.Zone == c.Zones[a.Upstream] && c.overdue(act.At, call.Host, a.At, evacuateBound):
+			c.report(Evacuation, a.ID, "host %s sent it to upstream %s %v after zone %s was out of service", call.Host, a.Upstream, a.At.Sub(act.At), act.Zone)
+		}
+	}
+}
+
+// checkBudget checks the retries of each service in windows that begin at each retry.
+func (c *checker) checkBudget() {
+	for _, service := range users.Services() {
+		var sent, retries []time.Time
+		for _, call := range c.Calls {
+			if call.Service == service {
+				sent = append(sent, call.Begun)
+			}
+		}
+		for _, arrivals := range c.arrivals {
+			for _, a := range arrivals[1:] {
+				if a.Service == service {
+					retries = append(retries, a.At)
+				}
+			}
+		}
+		for _, from := range retries {
+			requests := max(within(sent, from), within(sent, from.Add(-users.RetryWindow)), within(sent, from.Add(-users.RetryWindow/2)))
+			if n, most := within(retries, from), users.RetryRatio*float64(requests)+users.RetrySlack; float64(n) > most {
+				c.report(RetryBudget, service, "%d retries in %v, at most %.0f for %d requests", n, users.RetryWindow, most, requests)
+				break
+			}
+		}
+	}
+}
+
+// within returns how many of the times are in the retry window that begins at from.
+func within(times []time.Time, from time.Time) int {
+	n := 0
+	for _, t := range times {
+		if !t.Before(from) && t.Before(from.Add(users.RetryWindow)) {
+			n++
+		}
+	}
+	return n
+}
+
+// checkSite checks processes, memory and the recovery of the site.
+func (c *checker) checkSite() {
+	for _, e := range c.Ends {
+		c.report(Ended, e.Host, "%s", strings.TrimSpace(e.Reason))
+	}
+	for host, bytes := range c.Memory {
+		if bytes > maxMemory {
+			c.report(Memory, host, "%d MB, at most %d", bytes>>20, maxMemory>>20)
+		}
+	}
+	if served, calls := Served(c.Calls, c.Calm); float64(served) < minServedShare*float64(calls) || calls == 0 {
+		c.report(Recovery, "site", "%d of %d requests served after the last fault", served, calls)
+	}
+}
+
+// Served returns how many of the requests that began in a span were served, and their number.
+func Served(calls []Call, s Span) (served, all int) {
+	for _, call := range calls {
+		if !call.Begun.Before(s.From) && call.Begun.Before(s.To) {
+			all++
+			if call.Verified {
+				served++
+			}
+		}
+	}
+	return served, all
+}
--- /dev/null
+++ b/proofs/soak/plan.go
@@ -0,0 +1,190 @@
+// Package soak plans random faults of a site and checks the records of a run against what the platform promises. Its test
+// plays the plans on the real programs as separate processes.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"sardinecross.example/platform/standin/server"
+	"sardinecross.example/platform/standin/store"
+	"sardinecross.example/platform/standin/users"
+)
+
+// Kind is a kind of event.
+type Kind string
+
+// Kinds of events. Those up to Reload are about a host, those from Drain to Fault about an upstream.
+const (
+	Stop     Kind = "stop"     // SIGTERM, further signals meanwhile, and a new start For after the end
+	StopKill Kind = "stopKill" // SIGTERM, SIGKILL For later, and a new start
+	Kill     Kind = "kill"     // SIGKILL, and a new start For later
+	Pause    Kind = "pause"    // SIGSTOP, and SIGCONT For later
+	Reload   Kind = "reload"   // SIGHUP with a changed settings file
+
+	StoreMode Kind = "store"     // the store answers in Mode for the time For
+	Rebalance Kind = "rebalance" // the store assigns its partitions anew
+	Deafen    Kind = "deafen"    // reads that wait at the store miss the next change
+
+	Drain Kind = "drain" // the upstream leaves, and a new one joins
+	Crash Kind = "crash" // the upstream closes its listener without leaving, and a new one joins
+	Chill Kind = "chill" // the upstream is cold for the time For
+	Fault Kind = "fault" // the upstream answers with the fault Mode for the time For
+
+	Routes   Kind = "routes"   // a new configuration with one more route
+	Evacuate Kind = "evacuate" // the zone Mode is out of service for the time For
+)
+
+const (
+	// WarmUp is the time of load before the first event.
+	WarmUp = 2 * time.Second
+	// FaultTime is the time in which events begin.
+	FaultTime = 14 * time.Second
+	// SettleTime is the time from the last event's end to the load whose served share is checked.
+	SettleTime = 6 * time.Second
+	// CalmTime is how long that load takes.
+	CalmTime = 3 * time.Second
+	// ColdTime is how long an upstream stays cold after a Chill.
+	ColdTime = time.Second
+)
+
+// Event is one event of a plan. At is the earliest time of its begin, counted from the end of the warm-up; it begins later if
+// the event before it in its series has not ended.
+type Event struct {
+	At, For time.Duration
+	Kind    Kind
+	// Host is the index of a host. Service and Index select an upstream among those that no event has harmed.
+	Host    int
+	Service string
+	Index   int
+	Mode    string
+	// Further holds the signals that follow a SIGTERM at intervals of half a second.
+	Further []string
+}
+
+// String returns the event as one line.
+func (e Event) String() string {
+	text := fmt.Sprintf("%6.2f s %s", e.At.Seconds(), e.Kind)
+	switch e.Kind {
+	case Stop, StopKill, Kill, Pause, Reload:
+		text += fmt.Sprintf(" host %d", e.Host)
+	case Drain, Crash, Chill, Fault:
+		text += fmt.Sprintf(" %s upstream %d", e.Service, e.Index)
+	}
+	for _, s := range append([]string{e.Mode}, e.Further...) {
+		if s != "" {
+			text += " " + s
+		}
+	}
+	if e.For > 0 {
+		text += fmt.Sprintf(" for %.2f s", e.For.Seconds())
+	}
+	return text
+}
+
+// Plan is what a seed gives. The series of events run at the same time, the events of a series one after the other.
+type Plan struct {
+	Seed uint64
+	// Timeout is the timeout of all routes.
+	Timeout time.Duration
+	Series  [][]Event
+}
+
+// String returns the plan as text with a line for each event.
+func (p Plan) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "seed %d, timeout %v\n", p.Seed, p.Timeout)
+	for i, series := range p.Series {
+		for _, e := range series {
+			fmt.Fprintf(&b, "  series %d: %v\n", i, e)
+		}
+	}
+	return b.String()
+}
+
+// Events returns the number of events.
+func (p Plan) Events() int { return len(slices.Concat(p.Series...)) }
+
+// NewPlan returns the plan of a seed for a site with the given number of hosts.
+func NewPlan(seed uint64, hosts int) Plan {
+	g := generator{rand.New(rand.NewPCG(seed, 0))}
+	p := Plan{Seed: seed, Timeout: pick(g, 1500*time.Millisecond, 4*time.Second)}
+	for h := range hosts {
+		p.Series = append(p.Series, g.series(2*time.Second, 7*time.Second, func() Event { return g.hostEvent(h) }))
+	}
+	p.Series = append(p.Series,
+		g.series(3*time.Second, 9*time.Second, g.storeEvent),
+		g.series(time.Second, 4*time.Second, g.upstreamEvent),
+		g.series(2*time.Second, 8*time.Second, g.configurationEvent))
+	return p
+}
+
+// generator draws events.
+type generator struct{ *rand.Rand }
+
+func pick[T any](g generator, of ...T) T { return of[g.IntN(len(of))] }
+
+func (g generator) between(a, b time.Duration) time.Duration {
+	return a + time.Duration(g.Int64N(int64(b-a)))
+}
+
+// series returns events that begin within FaultTime, with pauses between minPause and maxPause.
+func (g generator) series(minPause, maxPause time.Duration, draw func() Event) []Event {
+	var out []Event
+	for at := g.between(0, maxPause); at < FaultTime; at += g.between(minPause, maxPause) {
+		e := draw()
+		e.At = at
+		out = append(out, e)
+		at += e.For
+	}
+	return out
+}
+
+func (g generator) hostEvent(host int) Event {
+	e := Event{Host: host, Kind: pick(g, Stop, Stop, Stop, StopKill, Kill, Kill, Pause, Reload)}
+	switch e.Kind {
+	case Stop:
+		e.For = g.between(0, 2*time.Second)
+		for range g.IntN(3) {
+			e.Further = append(e.Further, pick(g, "hangup", "terminated"))
+		}
+	case StopKill:
+		e.For = g.between(100*time.Millisecond, 5*time.Second)
+	case Kill:
+		e.For = g.between(0, 3*time.Second)
+	case Pause:
+		e.For = g.between(200*time.Millisecond, 3*time.Second)
+	}
+	return e
+}
+
+func (g generator) storeEvent() Event {
+	e := Event{Kind: pick(g, StoreMode, StoreMode, StoreMode, Rebalance, Deafen)}
+	if e.Kind == StoreMode {
+		e.Mode = string(pick(g, store.Busy, store.Many, store.Silent, store.Reset, store.Slow, store.Lost, store.Late))
+		e.For = g.between(500*time.Millisecond, 5*time.Second)
+	}
+	return e
+}
+
+func (g generator) upstreamEvent() Event {
+	e := Event{Kind: pick(g, Drain, Crash, Chill, Fault, Fault), Service: pick(g, users.Services()...), Index: g.IntN(16)}
+	switch e.Kind {
+	case Chill:
+		e.For = ColdTime
+	case Fault:
+		e.Mode = string(pick(g, server.Refuse, server.RepeatRefusal, server.SecondCopy, server.CutHead))
+		e.For = g.between(500*time.Millisecond, 4*time.Second)
+	}
+	return e
+}
+
+func (g generator) configurationEvent() Event {
+	if g.IntN(2) == 0 {
+		return Event{Kind: Routes}
+	}
+	return Event{Kind: Evacuate, Mode: pick(g, "passau", "landshut"), For: g.between(2*time.Second, 9*time.Second)}
+}
