soak: Harm links, pipeline requests and end with changes that every host must obey

Plans get faults of the links from callers to a host and from a host to the store, which site.TCPLink can delay and reset now. Some callers pipeline. Each run ends with a new route, a leaving upstream and a data centre out of service while nothing is disturbed: before, hosts were disturbed so often that the bounds of these changes hardly ever applied, and a host that ignored a data centre out of service went unnoticed. Faults of answers are played in both data centres, since the one may be out of service. Answers of the directories are checked.

A process that is killed at the end of its grace is counted in the report line, since no rule forbids it by itself.

--- a/proofs/site/link.go
+++ b/proofs/site/link.go
@@ -25,6 +25,8 @@
 // every packet does.
 type TCPLink struct {
 	Cut
+	// delay is how long bytes take in each direction, in nanoseconds.
+	delay  atomic.Int64
 	ln     net.Listener
 	target string
 	wg     sync.WaitGroup
@@ -63,15 +65,26 @@
 // Addr returns the address to dial.
 func (l *TCPLink) Addr() string { return l.ln.Addr().String() }
 
-// Close closes the link and its connections and waits until its goroutines have ended.
-func (l *TCPLink) Close() {
-	l.closed.Store(true)
-	_ = l.ln.Close()
+// SetDelay changes how long bytes take in each direction.
+func (l *TCPLink) SetDelay(d time.Duration) { l.delay.Store(int64(d)) }
+
+// Reset resets all connections.
+func (l *TCPLink) Reset() {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	for c := range l.conns {
+		if tc, ok := c.(*net.TCPConn); ok {
+			_ = tc.SetLinger(0) // Close sends a reset
+		}
 		_ = c.Close()
 	}
-	l.mu.Unlock()
+}
+
+// Close closes the link and its connections and waits until its goroutines have ended.
+func (l *TCPLink) Close() {
+	l.closed.Store(true)
+	_ = l.ln.Close()
+	l.Reset()
 	l.wg.Wait()
 }
 
@@ -110,6 +123,7 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
+		time.Sleep(time.Duration(l.delay.Load()))
 		for cut.Load() && !l.closed.Load() {
 			time.Sleep(5 * time.Millisecond)
 		}
--- a/proofs/soak/history.go
+++ b/proofs/soak/history.go
@@ -12,8 +12,12 @@
 	// Added is when the request's route was confirmed if a Routes event has added it; otherwise it is the zero time.
 	Added time.Time
 	Order bool
-	Limit time.Duration
-	Work  time.Duration
+	// Linked is set if the request went through a link that may lose it.
+	Linked bool
+	// Behind is set if the request was sent behind another on its connection.
+	Behind bool
+	Limit  time.Duration
+	Work   time.Duration
 	// Begun is when the first byte was written and Sent when the last was; the zero time if it was not written whole. Ended
 	// is when the response was complete or the connection had ended.
 	Begun, Sent, Ended time.Time
@@ -45,6 +49,13 @@
 	Reason string
 }
 
+// Listing is an answer of a host's directory.
+type Listing struct {
+	At    time.Time
+	Host  string
+	Named []string // IDs of hosts
+}
+
 // History is what was seen of a run.
 type History struct {
 	Timeout, Grace time.Duration
@@ -53,8 +64,14 @@
 	// Zones holds the zones of upstreams by their IDs.
 	Zones       map[string]string
 	Disruptions []Span
-	Acts        []Act
-	Ends        []End
+	// Downs holds the times in which a host had no process.
+	Downs    []Span
+	Listings []Listing
+	Acts     []Act
+	Ends     []End
+	// KilledAtGrace is the number of processes that still ran at the end of their grace and were killed, as the platform does.
+	// No rule forbids it; requests that are lost by it are reported.
+	KilledAtGrace int
 	// Memory is the greatest resident size of each host's processes in bytes.
 	Memory map[string]int64
 	// Calm is the time after the last event in which a site must serve again.
