front: Set the write deadline before 100 (Continue)

Callers that wait for 100 (Continue) on a connection that was idle for more than 30 s would lose it without an answer: the write deadline of the response before was still set, and had passed.

TestContinueAfterAPause failed before (the connection is cut). It sets the passed deadline; the 30 s were not waited for.

--- a/sardinegate/front/body_test.go
+++ b/sardinegate/front/body_test.go
@@ -55,3 +55,21 @@
 		t.Errorf("a read after the end returned %d bytes and %v", n, err)
 	}
 }
+
+// Guards against 100 (Continue) that fails on a connection which was idle for longer than writeTimeout, because the write deadline of the
+// previous response is still set: the caller would lose its connection without an answer.
+func TestContinueAfterAPause(t *testing.T) {
+	s, nc, br := startServer(t, echo)
+	writeString(t, nc, getRequest("/1"))
+	assertResponse(t, br, 200, "/1")
+	s.mu.Lock()
+	for c := range s.conns {
+		_ = c.nc.SetWriteDeadline(time.Now().Add(-time.Millisecond)) // as it is writeTimeout after the last write
+	}
+	s.mu.Unlock()
+	writeString(t, nc, "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n")
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil || resp.StatusCode != http.StatusContinue {
+		t.Fatalf("got %v (%v), want status 100", resp, err)
+	}
+}
--- a/sardinegate/front/exchange.go
+++ b/sardinegate/front/exchange.go
@@ -61,6 +61,7 @@
 	if err := x.awaitPrevious(); err != nil {
 		return err
 	}
+	_ = x.c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only on a closed connection
 	if _, err := io.WriteString(x.c.bw, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 		return err
 	}
