entry: Do not count a late response of a sound upstream as a failure

A long response that began right after the time limit of its request counted against its upstream, as any length was more than could arrive in a time of 0 or less. Three in a row would have put the upstream on trial. Found in review, by reading, before any landing.

TestLengthOfALateResponseSaysNothing fails with the comparison alone.

--- a/sardinegate/entry/long_test.go
+++ b/sardinegate/entry/long_test.go
@@ -80,3 +80,12 @@
 		})
 	}
 }
+
+// Guards against a sound upstream that counts as failed because its long response begins when the time limit has just passed.
+func TestLengthOfALateResponseSaysNothing(t *testing.T) {
+	for left, want := range map[time.Duration]bool{time.Second: false, time.Millisecond: true, 0: false, -time.Millisecond: false} {
+		if got := cannotArrive(1e9, left); got != want {
+			t.Errorf("1 GB with %v left cannot arrive: %t, want %t", left, got, want)
+		}
+	}
+}
--- a/sardinegate/entry/outcome.go
+++ b/sardinegate/entry/outcome.go
@@ -87,7 +87,7 @@
 		return notRun, grant.Unreached
 	case info.NotRun:
 		return notRun, grant.Shed
-	case resp.BodyRest != nil && float64(resp.ContentLength) > maxBodyRate*time.Until(c.deadline).Seconds():
+	case resp.BodyRest != nil && cannotArrive(resp.ContentLength, time.Until(c.deadline)):
 		return unknown, grant.Failed
 	case resp.Status < http.StatusMultipleChoices && !info.Signed:
 		return unknown, grant.Failed
@@ -97,6 +97,12 @@
 	return answered, grant.Served
 }
 
+// cannotArrive reports whether a body is too long to arrive in the time that is left. After the time limit, its length says nothing
+// about the upstream.
+func cannotArrive(length int64, left time.Duration) bool {
+	return left > 0 && float64(length) > maxBodyRate*left.Seconds()
+}
+
 // statusMeansNotRun reports whether callers conclude from a status that the request was not run.
 func statusMeansNotRun(status int) bool {
 	switch status {
