sardinegate: Let last responses be written before the cut

Cause: requests left are ended 200 ms before the end of the grace and connections cut 100 ms before it, both by the clock. A process that gets no processor time from before the one until after the other does both in the same moment, and the cut comes first. The log of the host shows all requests of the connection and the cut within 1 ms, 0.3 s after the former was due.

The cut now comes at least 50 ms after the requests were ended, which are written in a few milliseconds. A host that is so late risks SIGKILL, which does no more harm than its own cut.

--- a/proofs/stop_test.go
+++ b/proofs/stop_test.go
@@ -338,3 +338,41 @@
 	reader.Wait()
 	assertNoneLost(t, l.calls, s.platformStats(), stopped, timeout)
 }
+
+// Guards against a host that gets no processor time when its last responses are due, and then cuts the connections without them: a
+// request at work longer than the grace, and answered ones that were pipelined behind it.
+func TestGateStopAnswersAfterPause(t *testing.T) {
+	s := newGateSite(t, 1)
+	const timeout = 9 * time.Second // more than the grace
+	s.sendCommand(map[string]any{"TimeoutMS": timeout.Milliseconds()})
+	time.Sleep(2 * time.Second) // until the timeout is in force
+	l := &stopLoad{s: s, h: s.hosts[0]}
+	nc := l.dial()
+	if nc == nil {
+		t.Fatal("the host accepts no connection")
+	}
+	defer nc.Close()
+	const requests = 6
+	sent, closing := make(chan *stopCall, requests), make(chan struct{})
+	var reader sync.WaitGroup
+	reader.Go(func() { receivePipelined(nc, sent, closing) })
+	for i := range requests {
+		c := l.addCall(&stopCall{work: 50 * time.Millisecond, limit: 12 * time.Second, pipelined: true})
+		if i == 0 {
+			c.work = 8 * time.Second
+		}
+		_ = c.send(nc) // an error is kept with the request
+		sent <- c
+	}
+	close(sent)
+	time.Sleep(100 * time.Millisecond)
+	stopped := time.Now()
+	l.h.Signal(syscall.SIGTERM)
+	// The host has no processor time from before the last responses are due until after their connections are to be cut.
+	time.Sleep(time.Until(stopped.Add(gateGrace - 300*time.Millisecond)))
+	l.h.Signal(syscall.SIGSTOP)
+	time.Sleep(time.Until(stopped.Add(gateGrace - 80*time.Millisecond)))
+	l.h.Signal(syscall.SIGCONT)
+	reader.Wait()
+	assertNoneLost(t, l.calls, s.platformStats(), stopped, timeout)
+}
--- a/sardinegate/stop.go
+++ b/sardinegate/stop.go
@@ -12,6 +12,10 @@
 // settingsCheckInterval is the time between checks whether the settings file was modified, as it may change without a SIGHUP.
 const settingsCheckInterval = time.Second
 
+// minAnswerTime is how long the responses to requests that end with the grace may take at least until their connections are cut. A
+// process that gets no processor time for a while ends the requests late, and must not cut them in the same moment.
+const minAnswerTime = 50 * time.Millisecond
+
 // serve reloads the settings on SIGHUP or when their file was modified. Any other signal shuts the host down. While it shuts
 // down, signals change nothing: the platform kills a host that has to end sooner.
 func (g *gate) serve(signals <-chan os.Signal) {
@@ -89,8 +93,11 @@
 	g.node.SendHeartbeat()
 	time.Sleep(time.Until(period.AcceptUntil()))
 	g.processLog.Info("connections no longer accepted", g.stopState(begun)...)
-	ctx, cancel := context.WithDeadline(context.Background(), period.CutAt())
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	context.AfterFunc(g.stop.Context(), func() {
+		time.AfterFunc(max(time.Until(period.CutAt()), minAnswerTime), cancel)
+	})
 	if err := g.callerServer.Shutdown(ctx); err != nil {
 		g.processLog.Warn("requests cut at the end of the grace", g.stopState(begun, "error", err)...)
 	}
