--- a/proofs/stop_test.go
+++ b/proofs/stop_test.go
@@ -369,7 +369,7 @@
 	stopped := time.Now()
 	l.h.Signal(syscall.SIGTERM)
 	// The host has no processor time from before the last responses are due until after their connections are to be cut.
-	time.Sleep(time.Until(stopped.Add(gateGrace - 300*time.Millisecond)))
+	time.Sleep(time.Until(stopped.Add(gateGrace - 600*time.Millisecond)))
 	l.h.Signal(syscall.SIGSTOP)
 	time.Sleep(time.Until(stopped.Add(gateGrace - 80*time.Millisecond)))
 	l.h.Signal(syscall.SIGCONT)
