entry: Run the test of ends of long responses in virtual time

TestLongResponseEndsTheAttemptAtItsEnd failed 3 times in 15 runs with the race detector at a load average of 52, once at 80, and in 30 runs on code without changes to entry: the caller leaves after 20 ms of a time limit of 100 ms, which a busy machine can swap. The order of its times is now given. Its cases and what they check are the same. It passed 5 times with the race detector at a load average of 30.

--- a/sardinegate/entry/entry_test.go
+++ b/sardinegate/entry/entry_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"sardinecross.example/lib/fleet"
@@ -473,28 +474,30 @@
 		"caller stops reading":   {0, -1, false, true, grant.Abandoned, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFixture(t, map[string]responder{"a": func(ctx context.Context, r *pool.Request) (*pool.Response, error) {
-				resp, err := served(ctx, r)
-				resp.BodyRest, resp.ContentLength = &bodyReader{ctx, c.reads}, int64(c.length)
-				return resp, err
-			}})
-			ctx, cancel := context.WithCancel(t.Context())
-			defer cancel()
-			if c.callerLeaves {
-				time.AfterFunc(20*time.Millisecond, cancel)
-			}
-			r := httptest.NewRequest(http.MethodGet, "/once/x", nil).WithContext(ctx)
-			r.Host = "a.example"
-			r.Header.Set("Id", "1")
-			aborted := func() (aborted bool) {
-				defer func() { aborted = recover() != nil }()
-				f.ServeHTTP(&stoppingRecorder{httptest.NewRecorder(), c.callerStops}, r)
-				return false
-			}()
-			f.assertAttemptsEnded(t, 1)
-			if got := f.selector.ended[0].Outcome; got != c.want || aborted != c.aborted {
-				t.Fatalf("the attempt ended with outcome %d and the caller's connection was cut: %t, want %d and %t", got, aborted, c.want, c.aborted)
-			}
+			synctest.Test(t, func(t *testing.T) { // the order of the times must not depend on the load of the machine
+				f := newFixture(t, map[string]responder{"a": func(ctx context.Context, r *pool.Request) (*pool.Response, error) {
+					resp, err := served(ctx, r)
+					resp.BodyRest, resp.ContentLength = &bodyReader{ctx, c.reads}, int64(c.length)
+					return resp, err
+				}})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if c.callerLeaves {
+					time.AfterFunc(20*time.Millisecond, cancel)
+				}
+				r := httptest.NewRequest(http.MethodGet, "/once/x", nil).WithContext(ctx)
+				r.Host = "a.example"
+				r.Header.Set("Id", "1")
+				aborted := func() (aborted bool) {
+					defer func() { aborted = recover() != nil }()
+					f.ServeHTTP(&stoppingRecorder{httptest.NewRecorder(), c.callerStops}, r)
+					return false
+				}()
+				f.assertAttemptsEnded(t, 1)
+				if got := f.selector.ended[0].Outcome; got != c.want || aborted != c.aborted {
+					t.Fatalf("the attempt ended with outcome %d and the caller's connection was cut: %t, want %d and %t", got, aborted, c.want, c.aborted)
+				}
+			})
 		})
 	}
 }
