front, proofs: Set up the tests of kept connections at a stop in one place

Two tests of front had a connection and a listener of their own for a slow second read, and two tests of proofs the same site and connection. What they check is the same; TestShutdownServesARequestThatIsBeingRead still fails on the code before its fix, and the four pass.

--- a/proofs/stop_test.go
+++ b/proofs/stop_test.go
@@ -300,11 +300,10 @@
 	}
 }
 
-// Guards against a host that closes a connection while its last responses are still on their way to a caller that reads slowly: a
-// request that the caller pipelines then resets the connection, and the rest of the responses is lost.
-func TestGateStopKeepsResponsesForSlowCaller(t *testing.T) {
+// startStopConnection starts a site whose routes have the given timeout, and connects to its first host.
+func startStopConnection(t *testing.T, timeout time.Duration) (*stopLoad, net.Conn) {
+	t.Helper()
 	s := newGateSite(t, 1)
-	const timeout = 4 * time.Second
 	s.sendCommand(map[string]any{"TimeoutMS": timeout.Milliseconds()})
 	time.Sleep(2 * time.Second) // until the timeout is in force
 	l := &stopLoad{s: s, h: s.hosts[0]}
@@ -312,7 +311,15 @@
 	if nc == nil {
 		t.Fatal("the host accepts no connection")
 	}
-	defer nc.Close()
+	t.Cleanup(func() { _ = nc.Close() })
+	return l, nc
+}
+
+// Guards against a host that closes a connection while its last responses are still on their way to a caller that reads slowly: a
+// request that the caller pipelines then resets the connection, and the rest of the responses is lost.
+func TestGateStopKeepsResponsesForSlowCaller(t *testing.T) {
+	const timeout = 4 * time.Second
+	l, nc := startStopConnection(t, timeout)
 	_ = nc.(*net.TCPConn).SetReadBuffer(slowReadBuffer) // the caller reads slowly in any case
 	sent, closing := make(chan *stopCall, 3), make(chan struct{})
 	var reader sync.WaitGroup
@@ -336,22 +343,14 @@
 	}
 	close(sent)
 	reader.Wait()
-	assertNoneLost(t, l.calls, s.platformStats(), stopped, timeout)
+	assertNoneLost(t, l.calls, l.s.platformStats(), stopped, timeout)
 }
 
 // Guards against a host that gets no processor time when its last responses are due, and then cuts the connections without them: a
 // request at work longer than the grace, and answered ones that were pipelined behind it.
 func TestGateStopAnswersAfterPause(t *testing.T) {
-	s := newGateSite(t, 1)
 	const timeout = 9 * time.Second // more than the grace
-	s.sendCommand(map[string]any{"TimeoutMS": timeout.Milliseconds()})
-	time.Sleep(2 * time.Second) // until the timeout is in force
-	l := &stopLoad{s: s, h: s.hosts[0]}
-	nc := l.dial()
-	if nc == nil {
-		t.Fatal("the host accepts no connection")
-	}
-	defer nc.Close()
+	l, nc := startStopConnection(t, timeout)
 	const requests = 6
 	sent, closing := make(chan *stopCall, requests), make(chan struct{})
 	var reader sync.WaitGroup
@@ -374,5 +373,5 @@
 	time.Sleep(time.Until(stopped.Add(gateGrace - 80*time.Millisecond)))
 	l.h.Signal(syscall.SIGCONT)
 	reader.Wait()
-	assertNoneLost(t, l.calls, s.platformStats(), stopped, timeout)
+	assertNoneLost(t, l.calls, l.s.platformStats(), stopped, timeout)
 }
--- a/sardinegate/front/close_test.go
+++ b/sardinegate/front/close_test.go
@@ -40,105 +40,80 @@
 	}
 }
 
-// heldConn is a connection whose second read returns only once read is closed, as the reading goroutine of a busy host does.
-type heldConn struct {
+// hookedConn is a connection whose second read is made by a function.
+type hookedConn struct {
 	*net.TCPConn
-	reads int
-	read  chan struct{}
+	reads  int
+	second func(read func() (int, error)) (int, error)
 }
 
-func (c *heldConn) Read(p []byte) (int, error) {
+func (c *hookedConn) Read(p []byte) (int, error) {
+	read := func() (int, error) { return c.TCPConn.Read(p) }
 	if c.reads++; c.reads == 2 {
-		<-c.read
+		return c.second(read)
 	}
-	return c.TCPConn.Read(p)
+	return read()
 }
 
-// heldConnListener accepts connections as heldConns.
-type heldConnListener struct {
+// hookedListener accepts connections as hookedConns.
+type hookedListener struct {
 	*net.TCPListener
-	read chan struct{}
+	second func(read func() (int, error)) (int, error)
 }
 
-func (l *heldConnListener) Accept() (net.Conn, error) {
+func (l *hookedListener) Accept() (net.Conn, error) {
 	nc, err := l.TCPListener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &heldConn{TCPConn: nc.(*net.TCPConn), read: l.read}, nil
+	return &hookedConn{TCPConn: nc.(*net.TCPConn), second: l.second}, nil
 }
 
-// Guards against a planned stop that takes a kept connection for idle while a whole request waits there to be read, and closes it
-// without an answer.
-func TestShutdownServesARequestThatIsNotReadYet(t *testing.T) {
+// startKeptConnection starts a server and sends it a request on a connection that it keeps, and then another one, which second reads.
+func startKeptConnection(t *testing.T, second func(read func() (int, error)) (int, error)) (*Server, *bufio.Reader) {
+	t.Helper()
 	tcp, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	ln := &heldConnListener{tcp.(*net.TCPListener), make(chan struct{})}
 	s := &Server{Handler: http.HandlerFunc(echo), Log: slog.New(slog.DiscardHandler)}
-	go func() { _ = s.Serve(ln) }()
-	defer s.Close()
-	nc := dial(t, ln.Addr().String())
+	go func() { _ = s.Serve(&hookedListener{tcp.(*net.TCPListener), second}) }()
+	t.Cleanup(s.Close)
+	nc := dial(t, tcp.Addr().String())
 	br := bufio.NewReader(nc)
 	writeString(t, nc, getRequest("/1"))
 	assertResponse(t, br, 200, "/1")
 	writeString(t, nc, getRequest("/2"))
+	return s, br
+}
+
+// Guards against a planned stop that takes a kept connection for idle while a whole request waits there to be read, as on a busy
+// host, and closes it without an answer.
+func TestShutdownServesARequestThatIsNotReadYet(t *testing.T) {
+	read := make(chan struct{})
+	s, br := startKeptConnection(t, func(readNow func() (int, error)) (int, error) {
+		<-read
+		return readNow()
+	})
 	time.Sleep(20 * time.Millisecond) // lets the request arrive
 	wait := startShutdown(t, s)
 	time.Sleep(3 * pollInterval)
-	close(ln.read)
+	close(read)
 	assertResponse(t, br, 200, "/2")
 	wait()
 }
 
-// slowConn is a connection whose second read returns its input only a while after it was taken from the kernel.
-type slowConn struct {
-	*net.TCPConn
-	reads int
-	taken chan struct{}
-}
-
-func (c *slowConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	if c.reads++; c.reads == 2 {
-		close(c.taken)
-		time.Sleep(5 * pollInterval)
-	}
-	return n, err
-}
-
-// slowConnListener accepts connections as slowConns.
-type slowConnListener struct {
-	*net.TCPListener
-	taken chan struct{}
-}
-
-func (l *slowConnListener) Accept() (net.Conn, error) {
-	nc, err := l.TCPListener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &slowConn{TCPConn: nc.(*net.TCPConn), taken: l.taken}, nil
-}
-
 // Guards against a planned stop that takes a kept connection for idle while the reading goroutine has a whole request that it has
 // just taken from the kernel, and closes the connection without an answer.
 func TestShutdownServesARequestThatIsBeingRead(t *testing.T) {
-	tcp, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ln := &slowConnListener{tcp.(*net.TCPListener), make(chan struct{})}
-	s := &Server{Handler: http.HandlerFunc(echo), Log: slog.New(slog.DiscardHandler)}
-	go func() { _ = s.Serve(ln) }()
-	defer s.Close()
-	nc := dial(t, ln.Addr().String())
-	br := bufio.NewReader(nc)
-	writeString(t, nc, getRequest("/1"))
-	assertResponse(t, br, 200, "/1")
-	writeString(t, nc, getRequest("/2"))
-	<-ln.taken
+	taken := make(chan struct{})
+	s, br := startKeptConnection(t, func(readNow func() (int, error)) (int, error) {
+		n, err := readNow()
+		close(taken)
+		time.Sleep(5 * pollInterval)
+		return n, err
+	})
+	<-taken
 	wait := startShutdown(t, s)
 	assertResponse(t, br, 200, "/2")
 	wait()
