grace: Serve the first request of a connection from before the last 2 s

Answers are due 300 ms before the end now; the cut, on which the kill of a slow process depends, stays at 200 ms.

--- a/sardinegate/grace/grace.go
+++ b/sardinegate/grace/grace.go
@@ -12,7 +12,7 @@
 	// new connections, has no requests in flight any more, and has cut the connections that were still open. A short grace
 	// has shorter ones; see margin.
 	acceptMargin = 2 * time.Second
-	answerMargin = 500 * time.Millisecond
+	answerMargin = 300 * time.Millisecond
 	cutMargin    = 200 * time.Millisecond
 	// longestAcceptShare, longestAnswerShare and longestCutShare bound the margins, as shares of the grace. The platform wants
 	// requests that came before the signal to be finished unless they last into the last sixth.
