--- a/review/rig-2/recover.go
+++ b/review/rig-2/recover.go
@@ -24,8 +24,10 @@
 		workers  = 6
 		workTime = 40 * time.Millisecond
 		limit    = 1500 * time.Millisecond
-		before   = 10 * time.Second
-		after    = 20 * time.Second // beyond recoveryTime
+		before   = 4 * time.Second
+		after    = 12 * time.Second // beyond recoveryTime
+		// forgetTime is longer than the hosts remember each other after they have left.
+		forgetTime = 62 * time.Second
 	)
 	zones := []string{"alpha", "beta"}
 	s, err := newSite(log, zonesOf(zones, (removed+left)/2), 1, "base,drain,config,cost,retry,recover,health,pool,places,tenants,quota,platform",
@@ -61,6 +63,7 @@
 		<-h.exited
 	}
 	s.hosts = kept
+	time.Sleep(forgetTime)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	begin := time.Now()
--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -43,13 +43,19 @@
 	running, waiting int
 	seq              int
 	gone             bool
+	reports          sync.Mutex // held while a report is written, so that the store has them in their order
 	freed            chan struct{}
 	stop             chan struct{}
 }
 
 func startWorker(s *store, log *record, id, service, addr, zone string, slots int, work, cold time.Duration) (*worker, error) {
+	return startWorkerAhead(s, log, id, service, addr, zone, slots, work, cold, 0)
+}
+
+// startWorkerAhead starts a worker whose clock is ahead.
+func startWorkerAhead(s *store, log *record, id, service, addr, zone string, slots int, work, cold, ahead time.Duration) (*worker, error) {
 	w := &worker{coldUntil: time.Now().Add(cold),
-		id: id, service: service, addr: addr, zone: zone, slots: slots, work: work, store: s, log: log, born: time.Now().UnixMilli(),
+		id: id, service: service, addr: addr, zone: zone, slots: slots, work: work, store: s, log: log, born: time.Now().Add(ahead).UnixMilli(),
 		conns: make(map[net.Conn]struct{}), freed: make(chan struct{}, slots), stop: make(chan struct{}),
 	}
 	var err error
@@ -76,14 +82,17 @@
 	return w, nil
 }
 
-// report writes the worker's entry. A worker that has left writes nothing more.
+// report writes the worker's entry. A worker that has left, or drains, writes nothing more.
 func (w *worker) report(state string) {
+	w.reports.Lock()
+	defer w.reports.Unlock()
 	w.mu.Lock()
 	if w.gone {
 		w.mu.Unlock()
 		return
 	}
 	w.seq++
+	w.gone = state != "ready"
 	value, _ := json.Marshal(map[string]any{
 		"service": w.service, "addr": w.addr, "zone": w.zone, "version": "v1", "slots": w.slots, "state": state,
 		"cold-left-s": w.coldFor().Seconds(), "seq": w.seq, "born": w.born,
@@ -100,6 +109,8 @@
 // leave removes the worker's entry without a report that it drains, and returns when the store has confirmed it. The worker goes on
 // serving until exit.
 func (w *worker) leave() time.Time {
+	w.reports.Lock()
+	defer w.reports.Unlock()
 	w.mu.Lock()
 	w.gone = true
 	w.mu.Unlock()
@@ -107,13 +118,18 @@
 	return w.store.put("keyed.servers", w.id, nil)
 }
 
-// crash ends the worker's process without a word. Its entry stays until the store misses its reports.
-func (w *worker) crash() {
+// end ends the worker's process without a word.
+func (w *worker) end() {
 	w.mu.Lock()
 	w.gone = true
 	w.mu.Unlock()
 	close(w.stop)
 	w.exit()
+}
+
+// crash ends the worker's process for good. Its entry stays until the store misses its reports.
+func (w *worker) crash() {
+	w.end()
 	time.AfterFunc(3*reportInterval, func() { w.store.put("keyed.servers", w.id, nil) })
 }
 
