review: Show that a burst of uploads cuts orders in service, as case 6

The hosts use 129 MB of 284 MB at most.

Cause: front/limits.go closes the costliest connection when a body that arrives does not fit into the budget, also one with a request in service. Ruled out: crashes of a host, time limits, workers without slots, the memory of the machine.

--- a/review/rig-2/drain.go
+++ b/review/rig-2/drain.go
@@ -28,6 +28,9 @@
 	return names
 }
 
+// routeTimeout is the time-out of the routes.
+const routeTimeout = 3 * time.Second
+
 // configuration returns a configuration of services that take orders.
 func configuration(services []string, maxConns, attempts int, coldPerSecond float64) map[string]any {
 	var policy, clusters []any
@@ -35,7 +38,7 @@
 		policy = append(policy, map[string]any{
 			"name": "orders-" + name, "kind": "unsafe", "latency-target-s": 0.8, "priority": 1, "public": false,
 			"match":  map[string]any{"path-prefix": "/" + name + "/"},
-			"action": map[string]any{"service": name, "timeout-s": 3, "max-attempts": attempts},
+			"action": map[string]any{"service": name, "timeout-s": routeTimeout.Seconds(), "max-attempts": attempts},
 		})
 		clusters = append(clusters, map[string]any{
 			"name": name, "health-path": "/health", "max-conns": maxConns, "protocol": "h1", "tls": false, "cold-s": coldTime.Seconds(), "cold-per-s": coldPerSecond,
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -15,7 +15,7 @@
 )
 
 func main() {
-	cases := map[string]func(log *record, trouble bool) (int, error){"born": born, "drain": drain, "oneway": oneWay, "restart": restart, "restartquota": restartQuota, "recover": recovery, "refusal": refusal}
+	cases := map[string]func(log *record, trouble bool) (int, error){"born": born, "drain": drain, "oneway": oneWay, "restart": restart, "restartquota": restartQuota, "recover": recovery, "refusal": refusal, "upload": upload}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		_, _ = fmt.Fprintln(os.Stderr, "usage: rig-2 CASE RECORD")
 		os.Exit(noCheck)
--- a/review/rig-2/record.go
+++ b/review/rig-2/record.go
@@ -75,6 +75,13 @@
 	r.write(now, "runs %s at %s %s", id, worker, tenant)
 }
 
+// hasRun reports whether a worker has run a request.
+func (r *record) hasRun(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.calls[id].runs) > 0
+}
+
 func (r *record) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/rig-2/site.go
+++ b/review/rig-2/site.go
@@ -330,15 +330,20 @@
 	wg.Wait()
 }
 
+// newID returns the ID of a new request.
+func (s *site) newID() string {
+	s.idMu.Lock()
+	defer s.idMu.Unlock()
+	s.nextID++
+	return fmt.Sprintf("%016x", s.nextID)
+}
+
 // once hides that a body can be read again, so that the client sends each request once.
 type once struct{ io.Reader }
 
 // send sends one order and records its answer.
 func (s *site) send(addr, tenant, key string, limit time.Duration) {
-	s.idMu.Lock()
-	s.nextID++
-	id := fmt.Sprintf("%016x", s.nextID)
-	s.idMu.Unlock()
+	id := s.newID()
 	ip, _, _ := net.SplitHostPort(addr)
 	var h *host
 	for _, other := range s.hosts {
