--- a/review/rig-2/quota.go
+++ b/review/rig-2/quota.go
@@ -18,12 +18,14 @@
 	tenantRate, tenantBurst = 200.0, 20.0
 	usualRate               = tenantRate / 1.6
 	hotFactor               = 7.5
+	hotTime                 = 6500 * time.Millisecond
+	hotBefore               = 500 * time.Millisecond // before the disruption
 	quotaWindow             = 5 * time.Second
 	quotaOverage            = 0.1
 	quotaSlack              = 20.0
 )
 
-// oneWay lets a tenant send several times its limit from all zones. Meanwhile nothing passes from one zone to another one, in one
+// oneWay lets a tenant send several times its limit from all zones, some times. Meanwhile nothing passes from one zone to another one, in one
 // direction, while both hear all others. The check is QUOTA.
 func oneWay(log *record, trouble bool) (int, error) {
 	const (
@@ -31,7 +33,7 @@
 		pause   = 12 * time.Second
 		rounds  = 4
 	)
-	return quota(log, func(s *site) error {
+	return quota(log, func(s *site, hot func()) error {
 		from, to := s.zonesToCut(tenantName)
 		setCut := func(cut bool) {
 			for x, a := range s.hosts {
@@ -43,6 +45,8 @@
 			}
 		}
 		for range rounds {
+			hot()
+			time.Sleep(hotBefore)
 			if trouble {
 				log.line("nothing passes from %s to %s", from, to)
 				setCut(true)
@@ -58,15 +62,17 @@
 	})
 }
 
-// restartQuota lets a tenant send several times its limit from all zones. Meanwhile the processes of all hosts are killed at the same
+// restartQuota lets a tenant send several times its limit from all zones, some times. Meanwhile the processes of all hosts are killed at the same
 // moment, and start again after a short delay. The check is QUOTA.
 func restartQuota(log *record, trouble bool) (int, error) {
 	const (
 		pause  = 12 * time.Second
 		rounds = 4
 	)
-	return quota(log, func(s *site) error {
+	return quota(log, func(s *site, hot func()) error {
 		for range rounds {
+			hot()
+			time.Sleep(hotBefore)
 			if trouble {
 				log.line("all hosts are killed")
 				s.kill()
@@ -82,8 +88,9 @@
 	})
 }
 
-// quota plays a site whose tenant sends several times its limit, and checks QUOTA.
-func quota(log *record, play func(s *site) error) (int, error) {
+// quota plays a site with a tenant, and checks QUOTA. play calls hot to let the tenant send several times its limit for hotTime, without
+// waiting for the end.
+func quota(log *record, play func(s *site, hot func()) error) (int, error) {
 	const (
 		key      = "mgjqnirth5mgjy5rcpih"
 		perZone  = 2
@@ -111,11 +118,19 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	for _, zone := range zones {
-		wg.Go(func() { s.clients(ctx, zone, tenantName, key, hotFactor*usualRate/float64(len(zones)), deadline) })
+	send := func(ctx context.Context, rate float64) {
+		for _, zone := range zones {
+			wg.Go(func() { s.clients(ctx, zone, tenantName, key, rate/float64(len(zones)), deadline) })
+		}
 	}
+	send(ctx, usualRate)
 	time.Sleep(6 * time.Second)
-	err = play(s)
+	err = play(s, func() {
+		log.line("the tenant is hot")
+		hot, end := context.WithTimeout(ctx, hotTime)
+		context.AfterFunc(hot, end)
+		send(hot, (hotFactor-1)*usualRate)
+	})
 	cancel()
 	wg.Wait()
 	if err != nil {
--- a/review/rig-2/refusal.go
+++ b/review/rig-2/refusal.go
@@ -19,8 +19,10 @@
 		downTime   = 100 * time.Millisecond
 		pause      = 7 * time.Second
 		rounds     = 14
-		// repeatShare is the share of the refusals that are repeated. Of all answers of the faulty workers that must stay below maxRepeated.
-		repeatShare, maxRepeated = 0.14, 0.03
+		// repeatShare is the share of the refusals that are repeated for faultTime after the start. Of all answers of the faulty workers in
+		// that time it must stay below maxRepeated.
+		repeatShare, maxRepeated = 0.1, 0.03
+		faultTime                = 5 * time.Second
 		demand                   = 360.0 // orders a second from each zone
 		limit                    = 2 * time.Second
 		workTime                 = 20 * time.Millisecond
@@ -41,7 +43,7 @@
 				return err
 			}
 			if trouble && n/serviceNum < faulty {
-				w.repeats = repeatShare
+				w.setRepeats(repeatShare, faultTime)
 			}
 			all, workers = append(all, w), append(workers, w)
 		}
--- a/review/rig-2/upload.go
+++ b/review/rig-2/upload.go
@@ -30,7 +30,7 @@
 	const (
 		usual      = 150 // users of all hosts
 		burstShare = 0.7 // more users in a burst
-		burstTime  = 5 * time.Second
+		burstTime  = 3 * time.Second
 		// arrivalTime is the time within which the users of a burst come.
 		arrivalTime = time.Second
 		pause       = 6 * time.Second
--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -35,7 +35,8 @@
 	// repeats is the share of the refusals that a faulty worker writes once more, late, where the next response on the connection is
 	// expected. repeated and answered count its answers.
 	repeats            float64
-	repeated, answered int
+	repeatsUntil       time.Time
+	repeated, answered int // before repeatsUntil
 
 	mu               sync.Mutex
 	ln               net.Listener
@@ -82,6 +83,23 @@
 	return w, nil
 }
 
+// setRepeats makes the worker a faulty one for a time.
+func (w *worker) setRepeats(share float64, d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.repeats, w.repeatsUntil = share, time.Now().Add(d)
+}
+
+// repeatsNow returns the share of the refusals that the worker repeats now.
+func (w *worker) repeatsNow() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if time.Now().After(w.repeatsUntil) {
+		return 0
+	}
+	return w.repeats
+}
+
 // report writes the worker's entry. A worker that has left, or drains, writes nothing more.
 func (w *worker) report(state string) {
 	w.reports.Lock()
@@ -183,11 +201,14 @@
 			late = ""
 		}
 		answer := w.answer(r)
-		w.count(&w.answered)
+		repeats := w.repeatsNow()
+		if repeats > 0 {
+			w.count(&w.answered)
+		}
 		if _, err := io.WriteString(nc, answer); err != nil {
 			return
 		}
-		if strings.Contains(answer, "Not-Executed") && rand.Float64() < w.repeats {
+		if strings.Contains(answer, "Not-Executed") && rand.Float64() < repeats {
 			late, lateID = answer, r.Header.Get("Request-Id")
 		}
 	}
