fleet, watch: Judge a lapse by the reads of all hosts, not by one host's calls

Cause: whether a removal is a lapse was judged by the host that read it, from its own failed calls of the last 2.5 s, and believed by all others. After a cut of one host, which reads for all, a removal counted as a lapse everywhere and took effect 2 s later. A call that hung counted as failed up to 2 s after the cut, so that the same came after an outage for all, for removals 3 s and more after it.

Change: a lapse needs an outage for the upstreams, that is a time without any read of the list by any host that is longer than all hosts would have let pass (fleet.Reads). Each host judges for itself. Spans tell how long the sender knows of reads without such a gap; a host that was alone takes that over and drops what it kept, and if it is the reader itself, the next host in the order tells it. The time for which a lapse is kept counts from a read that still held the entry, not from when the removal was found, so that it never exceeds the time for which a leaving upstream serves on. Hosts of the previous release still get the mark of the sender; they ignore the new field.

The tests of fleet.List stated the mark of the sender; they state the reads now.

--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -67,14 +67,15 @@
 	ID string `cbor:"1,keyasint"`
 	// Upstream is nil if the entry was removed.
 	Upstream *Upstream `cbor:"2,keyasint,omitempty"`
-	// Lapsed marks a removal that may be due to an outage of the store instead of the upstream. It takes effect after
-	// LapseGrace.
+	// Lapsed marks a removal that may be due to an outage of the store instead of the upstream, as the sender judges. Only hosts
+	// of the previous release go by it; all others judge by the reads that they know of.
 	Lapsed bool `cbor:"3,keyasint,omitempty"`
 }
 
-// LapseGrace is how long an entry stays usable that was removed around an outage of the store. Live upstreams are
-// listed again within about two seconds.
-const LapseGrace = 2 * time.Second
+// LapseGrace is how long an entry stays usable that was removed around an outage of the store. Live upstreams are listed again
+// within about two seconds. A leaving one serves on for two seconds, and a request that was sent to it before takes a moment to
+// arrive.
+const LapseGrace = 1900 * time.Millisecond
 
 // View is an immutable snapshot of everything that routing depends on.
 type View struct {
--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -19,13 +19,13 @@
 // Guards against a list that misses changes or goes back: changes that do not follow its position are refused.
 func TestApplyRefusesNonContiguousChanges(t *testing.T) {
 	l := NewList()
-	if l.Apply(0, 0, 5, 6, nil) {
+	if l.Apply(0, ReadAt(0), 5, 6, nil) {
 		t.Fatal("changes from 5 to 6 applied to a list at position 0")
 	}
-	if !l.Apply(0, 0, 0, 2, []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}}) || l.Offset != 2 {
+	if !l.Apply(0, ReadAt(0), 0, 2, []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}}) || l.Offset != 2 {
 		t.Fatal("changes from 0 to 2 not applied to a list at position 0")
 	}
-	if l.Apply(0, 0, 0, 1, []Change{{ID: "a"}}) {
+	if l.Apply(0, ReadAt(0), 0, 1, []Change{{ID: "a"}}) {
 		t.Fatal("changes up to 1 applied to a list at position 2")
 	}
 	assertListed(t, l, "a", true)
@@ -36,37 +36,109 @@
 	l := NewList()
 	leaving := newEntry("a", 2, 5)
 	leaving.State = Leaving
-	l.Apply(0, 0, 0, 1, []Change{{ID: "a", Upstream: leaving}})
-	l.Apply(0, 0, 1, 3, []Change{{ID: "a", Upstream: newEntry("a", 2, 4)}, {ID: "a", Upstream: newEntry("a", 1, 9)}})
+	l.Apply(0, ReadAt(0), 0, 1, []Change{{ID: "a", Upstream: leaving}})
+	l.Apply(0, ReadAt(0), 1, 3, []Change{{ID: "a", Upstream: newEntry("a", 2, 4)}, {ID: "a", Upstream: newEntry("a", 1, 9)}})
 	if u, _ := l.Get("a"); u.State != Leaving {
 		t.Fatal("an older report replaced a newer one")
 	}
-	l.Apply(0, 0, 3, 4, []Change{{ID: "a", Upstream: newEntry("a", 3, 1)}})
+	l.Apply(0, ReadAt(0), 3, 4, []Change{{ID: "a", Upstream: newEntry("a", 3, 1)}})
 	if u, _ := l.Get("a"); u.State != Ready {
 		t.Fatal("the first report after a restart did not replace the entry")
 	}
 }
 
+// outageEnd is when the first read after an outage is sent in the tests below. The last one before it was sent at 0.
+const outageEnd = OutageGap + time.Second
+
 // Guards against an outage of the store that empties the list, and against upstreams that stay listed although they are
 // gone. Entries that lapse are kept for LapseGrace, unless they are listed again.
 func TestLapsedEntriesAreKeptForLapseGrace(t *testing.T) {
 	l := NewList()
-	l.Apply(0, 0, 0, 1, []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}, {ID: "b", Upstream: newEntry("b", 1, 1)}})
-	l.Apply(0, 0, 1, 2, []Change{{ID: "a", Lapsed: true}, {ID: "b", Lapsed: true}})
+	l.Apply(0, ReadAt(0), 0, 1, []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}, {ID: "b", Upstream: newEntry("b", 1, 1)}})
+	l.Apply(outageEnd, ReadAt(outageEnd), 1, 2, []Change{{ID: "a"}, {ID: "b"}})
 	assertListed(t, l, "a", true)
-	l.Apply(time.Second, 0, 2, 3, []Change{{ID: "a", Upstream: newEntry("a", 1, 2)}})
-	if !l.Expire(LapseGrace) {
+	listedAt := outageEnd + time.Second
+	l.Apply(listedAt, ReadAt(listedAt), 2, 3, []Change{{ID: "a", Upstream: newEntry("a", 1, 2)}})
+	if l.Expire(outageEnd + LapseGrace - 1) {
+		t.Fatal("an entry expired before LapseGrace")
+	}
+	if !l.Expire(outageEnd + LapseGrace) {
 		t.Fatal("no entry expired after LapseGrace")
 	}
 	assertListed(t, l, "a", true)
 	assertListed(t, l, "b", false)
 }
 
+// Guards against the loss of upstreams whose entries lapse just after an outage, before they could renew them, and against
+// entries that are kept for longer than a leaving upstream serves on. A read may find a removal long after it was made.
+func TestEntriesLapseSoonAfterAnOutage(t *testing.T) {
+	l := NewList()
+	l.Apply(0, ReadAt(0), 0, 1, []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}, {ID: "b", Upstream: newEntry("b", 1, 1)}})
+	l.Apply(outageEnd, ReadAt(outageEnd), 1, 1, nil)
+	found := outageEnd + time.Second
+	l.Apply(found, ReadAt(found), 1, 2, []Change{{ID: "a"}})
+	assertListed(t, l, "a", true)
+	l.Expire(outageEnd + LapseGrace)
+	assertListed(t, l, "a", false)
+	for at := found; at < outageEnd+lapseWindow; at += OutageGap / 2 {
+		l.Apply(at, ReadAt(at), 2, 2, nil)
+	}
+	at := outageEnd + lapseWindow + time.Second
+	l.Apply(at, ReadAt(at), 2, 2, nil)
+	l.Apply(at, ReadAt(at), 2, 3, []Change{{ID: "b"}})
+	assertListed(t, l, "b", false)
+}
+
+// Guards against upstreams that are used for longer than they serve on: reads of other hosts show that there was no outage,
+// before or after the removal was found.
+func TestRemovalIsNoLapseIfOtherHostsReadTheStore(t *testing.T) {
+	listed := []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}, {ID: "b", Upstream: newEntry("b", 1, 1)}}
+	others := ReadsBetween(-lapseWindow, outageEnd)
+	for name, when := range map[string]struct {
+		reads Reads
+		after Reads
+	}{
+		"known before": {reads: others},
+		"known later":  {reads: ReadAt(outageEnd), after: others},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewList()
+			l.Apply(0, ReadAt(0), 0, 1, listed)
+			l.Apply(outageEnd, when.reads, 1, 2, []Change{{ID: "a"}})
+			l.Reads = l.Reads.With(when.after)
+			l.Expire(outageEnd)
+			assertListed(t, l, "a", false)
+			assertListed(t, l, "b", true)
+		})
+	}
+}
+
+// Guards against series of reads that hide an outage, or that lose reads which only another host knows of.
+func TestSeriesOfReads(t *testing.T) {
+	const gap = OutageGap
+	for name, test := range map[string]struct{ a, b, want Reads }{
+		"next read":          {ReadAt(1), ReadAt(1 + gap), ReadsBetween(1, 1+gap)},
+		"after an outage":    {ReadAt(1), ReadAt(2 + gap), Reads{First: 2 + gap, Last: 2 + gap, any: true, afterOutage: true}},
+		"from before it":     {ReadAt(2 + gap), ReadAt(1), Reads{First: 2 + gap, Last: 2 + gap, any: true, afterOutage: true}},
+		"other spans outage": {ReadAt(2 + gap), ReadsBetween(0, 3+gap), ReadsBetween(0, 3+gap)},
+		"none":               {Reads{}, ReadAt(-1), ReadAt(-1)},
+		"no other":           {ReadAt(1), Reads{}, ReadAt(1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := test.a.With(test.b); got != test.want {
+				t.Fatalf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 // Guards against entries that stay listed although a complete list lacks them.
 func TestReplaceRemovesMissingEntries(t *testing.T) {
 	l := NewList()
-	l.Replace(0, 0, 3, []Upstream{*newEntry("a", 1, 1), *newEntry("b", 1, 1)}, false)
-	l.Replace(0, 0, 5, []Upstream{*newEntry("b", 1, 2)}, false)
+	const later = lapseWindow + time.Second // without an outage
+	l.Replace(0, ReadAt(0), 3, []Upstream{*newEntry("a", 1, 1), *newEntry("b", 1, 1)})
+	l.Replace(later, ReadsBetween(0, later), 4, []Upstream{*newEntry("a", 1, 1), *newEntry("b", 1, 1)})
+	l.Replace(later, ReadAt(later), 5, []Upstream{*newEntry("b", 1, 2)})
 	assertListed(t, l, "a", false)
 	assertListed(t, l, "b", true)
 }
@@ -75,9 +147,9 @@
 // that has lapsed there must lapse here as well.
 func TestLapsedEntriesLapseInACopy(t *testing.T) {
 	l, c := NewList(), NewList()
-	l.Apply(0, 0, 0, 2, []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}, {ID: "b", Upstream: newEntry("b", 1, 1)}})
-	l.Apply(0, 0, 2, 3, []Change{{ID: "a", Lapsed: true}})
-	c.Restore(time.Minute, l.Snapshot(LapseGrace/2), false)
+	l.Apply(0, ReadAt(0), 0, 2, []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}, {ID: "b", Upstream: newEntry("b", 1, 1)}})
+	l.Apply(outageEnd, ReadAt(outageEnd), 2, 3, []Change{{ID: "a"}})
+	c.Restore(time.Minute, l.Snapshot(outageEnd+LapseGrace/2))
 	assertListed(t, c, "a", true)
 	if c.Offset != 3 || c.Digest() != l.Digest() {
 		t.Fatalf("the copy is at position %d with digest %x, want 3 and %x", c.Offset, c.Digest(), l.Digest())
@@ -92,8 +164,8 @@
 	l, c := NewList(), NewList()
 	leaving := newEntry("a", 1, 5)
 	leaving.State = Leaving
-	l.Apply(0, 0, 0, 2, []Change{{ID: "a", Upstream: leaving}, {ID: "a", Upstream: newEntry("a", 1, 4)}})
-	c.Restore(0, l.Snapshot(0), false)
+	l.Apply(0, ReadAt(0), 0, 2, []Change{{ID: "a", Upstream: leaving}, {ID: "a", Upstream: newEntry("a", 1, 4)}})
+	c.Restore(0, l.Snapshot(0))
 	if u, _ := c.Get("a"); u.State != Leaving {
 		t.Fatalf("the copy lists %+v, want the later report", u)
 	}
--- a/lib/fleet/list.go
+++ b/lib/fleet/list.go
@@ -11,11 +11,12 @@
 type List struct {
 	// Offset is the position in the store up to which the list is complete.
 	Offset int64
-	// AsOf is when the read that confirmed Offset was sent.
-	AsOf time.Duration
+	// Reads holds the reads of the store by any host. The last one confirmed Offset.
+	Reads Reads
 	// entries holds the upstreams in use.
-	entries  map[string]Upstream
-	removeAt map[string]time.Duration // when lapsed entries are removed, by upstream ID
+	entries map[string]Upstream
+	// lapsing holds the entries that may have lapsed, with the time at which the store still held each.
+	lapsing map[string]time.Duration
 	// recorded holds the last record of each upstream up to Offset, in the order of the store. An entry in use differs
 	// from it if it has lapsed or if its record came after one with a later report.
 	recorded map[string]Upstream
@@ -25,7 +26,7 @@
 
 // NewList returns an empty list at position 0.
 func NewList() *List {
-	return &List{entries: make(map[string]Upstream), removeAt: make(map[string]time.Duration), recorded: make(map[string]Upstream)}
+	return &List{entries: make(map[string]Upstream), lapsing: make(map[string]time.Duration), recorded: make(map[string]Upstream)}
 }
 
 // Digest returns a hash of the last record of each upstream up to Offset. Lists at the same position have the same digest.
@@ -43,74 +44,96 @@
 	}
 }
 
-// Apply applies the changes between the positions from and to, read from the store at asOf. It returns false and
+// Apply applies the changes between the positions from and to, which the last of the given reads found. It returns false and
 // changes nothing if the list is not complete up to from, which would leave a gap, or is already beyond to.
-func (l *List) Apply(now, asOf time.Duration, from, to int64, changes []Change) bool {
+func (l *List) Apply(now time.Duration, reads Reads, from, to int64, changes []Change) bool {
 	if from > l.Offset || to < l.Offset {
 		return false
 	}
+	held := l.Reads.Last
+	l.Reads = l.Reads.With(reads)
 	for _, c := range changes {
 		l.record(c.ID, c.Upstream)
-		l.applyChange(now, c)
+		l.applyChange(now, held, c)
 	}
 	l.Offset = to
-	l.AsOf = max(l.AsOf, asOf)
 	return true
 }
 
-// Replace replaces the list by the entries as of position to, read from the store at asOf. Entries missing from them
-// are removed, after LapseGrace if lapsed is set.
-func (l *List) Replace(now, asOf time.Duration, to int64, entries []Upstream, lapsed bool) {
+// Replace replaces the list by the entries as of position to, which the last of the given reads found. Entries missing from
+// them are removed, those that may have lapsed later.
+func (l *List) Replace(now time.Duration, reads Reads, to int64, entries []Upstream) {
+	held := l.Reads.Last
+	l.Reads = l.Reads.With(reads)
 	listed := make(map[string]struct{}, len(entries))
 	clear(l.recorded)
 	l.digest = 0
 	for i := range entries {
 		l.record(entries[i].ID, &entries[i])
 		listed[entries[i].ID] = struct{}{}
-		l.applyChange(now, Change{ID: entries[i].ID, Upstream: &entries[i]})
+		l.applyChange(now, held, Change{ID: entries[i].ID, Upstream: &entries[i]})
 	}
 	for id := range l.entries {
 		if _, ok := listed[id]; !ok {
-			l.applyChange(now, Change{ID: id, Lapsed: lapsed})
+			l.applyChange(now, held, Change{ID: id})
 		}
 	}
 	l.Offset = to
-	l.AsOf = max(l.AsOf, asOf)
 }
 
-// applyChange applies one change. It ignores an entry that is older than the listed one.
-func (l *List) applyChange(now time.Duration, c Change) {
+// applyChange applies one change. The store held the previous entry at the time held. It ignores an entry that is older than
+// the listed one.
+func (l *List) applyChange(now, held time.Duration, c Change) {
 	if c.Upstream != nil {
 		if old, ok := l.entries[c.ID]; ok && old.newer(c.Upstream) {
 			return
 		}
 		l.entries[c.ID] = *c.Upstream
-		delete(l.removeAt, c.ID)
+		delete(l.lapsing, c.ID)
 		return
 	}
-	if _, ok := l.entries[c.ID]; ok && c.Lapsed {
-		if _, lapsing := l.removeAt[c.ID]; !lapsing {
-			l.removeAt[c.ID] = now + LapseGrace
-		}
+	if _, ok := l.entries[c.ID]; !ok {
 		return
 	}
-	delete(l.entries, c.ID)
-	delete(l.removeAt, c.ID)
+	if _, ok := l.lapsing[c.ID]; !ok {
+		l.lapsing[c.ID] = held
+	}
+	l.expireEntry(now, c.ID)
+}
+
+// Lapses reports whether the removal of an entry that a read sent at the given time finds may be due to an outage of the
+// store.
+func (l *List) Lapses(sent time.Duration) bool {
+	return l.Reads.With(ReadAt(sent)).mayLapse(l.Reads.Last)
+}
+
+// Lapsing reports whether the entry of an upstream may have lapsed and is still in use.
+func (l *List) Lapsing(id string) bool {
+	_, ok := l.lapsing[id]
+	return ok
 }
 
-// Expire removes lapsed entries whose LapseGrace has passed and reports whether there were any.
+// Expire removes the entries that may have lapsed once LapseGrace has passed, or once reads of other hosts have shown that
+// there was no outage. It reports whether there were any.
 func (l *List) Expire(now time.Duration) bool {
 	removed := false
-	for id, at := range l.removeAt {
-		if now >= at {
-			delete(l.entries, id)
-			delete(l.removeAt, id)
-			removed = true
-		}
+	for id := range l.lapsing {
+		removed = l.expireEntry(now, id) || removed
 	}
 	return removed
 }
 
+// expireEntry removes an entry that may have lapsed if it is time to, and reports whether it was.
+func (l *List) expireEntry(now time.Duration, id string) bool {
+	held := l.lapsing[id]
+	if l.Reads.mayLapse(held) && now < l.Reads.removeLapsed(held) {
+		return false
+	}
+	delete(l.entries, id)
+	delete(l.lapsing, id)
+	return true
+}
+
 // Entries returns the upstreams, sorted by ID.
 func (l *List) Entries() []Upstream { return sortedByID(l.entries) }
 
@@ -154,12 +177,12 @@
 
 // Snapshot returns a copy of the list.
 func (l *List) Snapshot(now time.Duration) Snapshot {
-	s := Snapshot{Offset: l.Offset, Age: now - l.AsOf, Recorded: sortedByID(l.recorded)}
+	s := Snapshot{Offset: l.Offset, Age: now - l.Reads.Last, Recorded: sortedByID(l.recorded)}
 	for _, u := range sortedByID(l.entries) {
-		removeAt, lapsing := l.removeAt[u.ID]
+		held, lapsing := l.lapsing[u.ID]
 		switch {
 		case lapsing:
-			s.Kept = append(s.Kept, KeptEntry{u, max(removeAt-now, 1)})
+			s.Kept = append(s.Kept, KeptEntry{u, max(l.Reads.removeLapsed(held)-now, 1)})
 		case !u.EqualForRouting(l.recorded[u.ID]):
 			s.Kept = append(s.Kept, KeptEntry{Upstream: u})
 		}
@@ -167,18 +190,18 @@
 	return s
 }
 
-// Restore replaces the list by a snapshot of another host. Entries missing from it are removed, after LapseGrace if lapsed is
-// set.
-func (l *List) Restore(now time.Duration, s Snapshot, lapsed bool) {
-	l.Replace(now, now-s.Age, s.Offset, s.Recorded, lapsed)
+// Restore replaces the list by a snapshot of another host. Entries missing from it are removed, those that may have lapsed
+// later.
+func (l *List) Restore(now time.Duration, s Snapshot) {
+	l.Replace(now, ReadAt(now-s.Age), s.Offset, s.Recorded)
 	for _, k := range s.Kept {
 		if k.Left == 0 {
-			l.applyChange(now, Change{ID: k.Upstream.ID, Upstream: &k.Upstream})
+			l.applyChange(now, l.Reads.Last, Change{ID: k.Upstream.ID, Upstream: &k.Upstream})
 			continue
 		}
 		if _, listed := l.entries[k.Upstream.ID]; !listed {
 			l.entries[k.Upstream.ID] = k.Upstream
-			l.removeAt[k.Upstream.ID] = now + k.Left
+			l.lapsing[k.Upstream.ID] = now + k.Left - LapseGrace
 		}
 	}
 }
--- a/sardinegate/mesh/check.go
+++ b/sardinegate/mesh/check.go
@@ -74,6 +74,7 @@
 	}
 	if m.ListChanges != nil {
 		c.span(m.ListChanges.Span)
+		c.duration("time of reads", m.ListChanges.Reads)
 		for _, change := range m.ListChanges.Changes {
 			c.change(change)
 		}
--- a/sardinegate/mesh/message.go
+++ b/sardinegate/mesh/message.go
@@ -154,6 +154,9 @@
 	Changes []fleet.Change `cbor:"2,keyasint,omitempty"`
 	// Digest is the digest of the sender's list at the end of the span; see fleet.List.Digest.
 	Digest uint64 `cbor:"3,keyasint,omitempty"`
+	// Reads is the length of the series of successful reads that the sender knows of and that ends with the one of Span; see
+	// fleet.Reads. Hosts of earlier versions do not send it.
+	Reads time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // OperatorRecords holds the operators' records within a span.
--- a/sardinegate/watch/copies_test.go
+++ b/sardinegate/watch/copies_test.go
@@ -153,6 +153,17 @@
 	}
 }
 
+func (n siteNode) Send(host string, m *mesh.Message) bool {
+	m.From = hostName(n.self)
+	for i, h := range n.site.hosts {
+		if hostName(i) == host {
+			time.AfterFunc(time.Millisecond, func() { h.Handle(m) })
+			return true
+		}
+	}
+	return false
+}
+
 func (siteNode) AddAddress(netip.Addr) {}
 
 func (n siteNode) SendHeartbeat() { n.site.hosts[n.self].tellPositions() }
--- a/sardinegate/watch/list.go
+++ b/sardinegate/watch/list.go
@@ -31,9 +31,9 @@
 	}
 	// The changes are those to the list at its present position, which a span of another host may have moved during the
 	// read. The span that is sent must not begin earlier: a host there would miss the changes before the position.
-	changes := w.effectiveChanges(records[position-from:])
-	toldByOther := asOf-w.list.AsOf < minReadAge
-	w.applyListChanges(asOf, position, to, changes)
+	changes := w.effectiveChanges(asOf, records[position-from:])
+	toldByOther := asOf-w.list.Reads.Last < minReadAge
+	w.applyListChanges(fleet.ReadAt(asOf), position, to, changes)
 	if len(changes) > 0 || !toldByOther {
 		w.sendListChanges(asOf, position, to, changes)
 	}
@@ -45,18 +45,28 @@
 	if len(changes) > 0 {
 		w.deps.Log.Info("changes of upstreams sent", "from", from, "to", to, "changes", len(changes))
 	}
-	w.deps.Node.Broadcast(&mesh.Message{ListChanges: &mesh.ListChanges{
+	w.deps.Node.Broadcast(&mesh.Message{ListChanges: w.listSpan(asOf, from, to, changes)})
+}
+
+// listSpan returns the changes between the positions from and to as a message. The read that confirmed to was sent at asOf.
+// w.mu must be held.
+func (w *Watcher) listSpan(asOf time.Duration, from, to int64, changes []fleet.Change) *mesh.ListChanges {
+	return &mesh.ListChanges{
 		Span:    mesh.Span{From: from, To: to, Age: w.now() - asOf},
 		Changes: changes,
 		Digest:  w.list.Digest(),
-	}})
+		Reads:   max(asOf-w.list.Reads.First, 0),
+	}
 }
 
 // handleListChanges applies the changes that another host has read and sent. w.mu must be held.
 func (w *Watcher) handleListChanges(host string, l *mesh.ListChanges) {
 	position := w.list.Offset
 	w.countGap(l.Span, position)
-	if !w.applyListChanges(w.now()-l.Span.Age, l.Span.From, l.Span.To, l.Changes) {
+	last := w.now() - l.Span.Age
+	reads := fleet.ReadsBetween(last-l.Reads, last)
+	w.correctReads(host, reads)
+	if !w.applyListChanges(reads, l.Span.From, l.Span.To, l.Changes) {
 		return
 	}
 	if len(l.Changes) > 0 {
@@ -74,6 +84,11 @@
 func (w *Watcher) expire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.expireLapsed()
+}
+
+// expireLapsed is expire with w.mu held.
+func (w *Watcher) expireLapsed() {
 	if w.list.Expire(w.now()) {
 		w.deps.Log.Info("lapsed upstreams removed")
 		w.publishList()
@@ -98,7 +113,7 @@
 		}
 		entries = append(entries, u)
 	}
-	w.list.Replace(w.now(), asOf, to, entries, w.inOutageWindow())
+	w.list.Replace(w.now(), fleet.ReadAt(asOf), to, entries)
 	w.deps.Log.Info("list of upstreams read", "upstreams", len(entries), "offset", to)
 	w.publishList()
 	return nil
@@ -106,8 +121,8 @@
 
 // effectiveChanges returns the last change of each upstream that has a record which differs from the one before. An
 // upstream whose last record restores what was recorded is included, because a host between the positions of the records
-// holds something else. w.mu must be held.
-func (w *Watcher) effectiveChanges(records []fleet.Record) []fleet.Change {
+// holds something else. The records come from a read that was sent at asOf. w.mu must be held.
+func (w *Watcher) effectiveChanges(asOf time.Duration, records []fleet.Record) []fleet.Change {
 	last := make(map[string]fleet.Change)
 	var changed []string
 	for _, r := range records {
@@ -115,7 +130,7 @@
 			w.deps.Log.Warn("entry not used", "reason", "no key")
 			continue
 		}
-		c := w.decodeChange(r)
+		c := w.decodeChange(asOf, r)
 		if _, ok := last[r.Key]; !ok {
 			if w.list.Holds(c) {
 				continue
@@ -133,9 +148,9 @@
 
 // decodeChange returns the change that a record makes to the list. A record that cannot be used removes its upstream.
 // w.mu must be held.
-func (w *Watcher) decodeChange(r fleet.Record) fleet.Change {
+func (w *Watcher) decodeChange(asOf time.Duration, r fleet.Record) fleet.Change {
 	if len(r.Value) == 0 {
-		return fleet.Change{ID: r.Key, Lapsed: w.inOutageWindow()}
+		return fleet.Change{ID: r.Key, Lapsed: w.list.Lapses(asOf)}
 	}
 	u, err := w.deps.Source.DecodeUpstream(r)
 	if err != nil {
@@ -145,12 +160,14 @@
 	return fleet.Change{ID: r.Key, Upstream: &u}
 }
 
-// applyListChanges applies the changes between the positions from and to. It returns false and changes nothing if the
-// known position is not between them. w.mu must be held.
-func (w *Watcher) applyListChanges(asOf time.Duration, from, to int64, changes []fleet.Change) bool {
-	if !w.list.Apply(w.now(), asOf, from, to, changes) {
+// applyListChanges applies the changes between the positions from and to, which the last of the given reads found. It returns
+// false and changes nothing if the known position is not between them. w.mu must be held.
+func (w *Watcher) applyListChanges(reads fleet.Reads, from, to int64, changes []fleet.Change) bool {
+	before := w.list.Reads
+	if !w.list.Apply(w.now(), reads, from, to, changes) {
 		return false
 	}
+	w.logOutage(before)
 	for _, c := range changes {
 		w.logChange(c)
 	}
@@ -163,7 +180,7 @@
 // logChange logs a change of the list of upstreams. w.mu must be held.
 func (w *Watcher) logChange(c fleet.Change) {
 	if c.Upstream == nil {
-		w.deps.Log.Info("upstream removed", "upstream", c.ID, "lapsed", c.Lapsed, "offset", w.list.Offset)
+		w.deps.Log.Info("upstream removed", "upstream", c.ID, "lapsed", w.list.Lapsing(c.ID), "offset", w.list.Offset)
 		return
 	}
 	u := c.Upstream
--- a/sardinegate/watch/model_test.go
+++ b/sardinegate/watch/model_test.go
@@ -25,6 +25,7 @@
 
 	mu       sync.Mutex
 	rnd      *rand.Rand
+	isolated string // the host that is cut off from all others, if any
 	watchers map[string]*Watcher
 	sent     []*mesh.Message // since the last call of takeSent
 }
@@ -57,6 +58,20 @@
 	return b.rnd.Float64()
 }
 
+// isolate cuts a host off from all others, none if host is empty.
+func (b *bus) isolate(host string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.isolated = host
+}
+
+// linked reports whether messages between two hosts arrive.
+func (b *bus) linked(x, y string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.isolated == "" || x != b.isolated && y != b.isolated
+}
+
 // busNode is the node of one host on a bus.
 type busNode struct {
 	*bus
@@ -69,7 +84,7 @@
 func (n busNode) Alive() []mesh.Member {
 	var out []mesh.Member
 	for _, host := range hostNames(len(n.hosts())) {
-		if host != n.host {
+		if host != n.host && n.linked(n.host, host) {
 			out = append(out, mesh.Member{Host: host})
 		}
 	}
@@ -84,7 +99,7 @@
 	n.sent = append(n.sent, m)
 	n.mu.Unlock()
 	for host, w := range n.hosts() {
-		if host == n.host || n.float() < n.loss {
+		if host == n.host || n.float() < n.loss || !n.linked(n.host, host) {
 			continue
 		}
 		delay := time.Duration(n.float() * float64(n.maxDelay))
@@ -92,6 +107,16 @@
 	}
 }
 
+// Send sends a message to one host, which is neither lost nor late.
+func (n busNode) Send(host string, m *mesh.Message) bool {
+	m.From = n.host
+	w := n.hosts()[host]
+	if w != nil && n.linked(n.host, host) {
+		time.AfterFunc(0, func() { w.Handle(m) })
+	}
+	return w != nil
+}
+
 func (busNode) AddAddress(netip.Addr) {}
 func (busNode) SendHeartbeat()        {}
 
--- a/sardinegate/watch/peers.go
+++ b/sardinegate/watch/peers.go
@@ -29,7 +29,7 @@
 	maxServed = 1
 	// staleAge is the age of the known position from which on a host copies from others: all hosts would have read the store by
 	// then. catchUpInterval is the time between checks.
-	staleAge        = minReadAge + readAgeSpread + 250*time.Millisecond
+	staleAge        = fleet.OutageGap
 	catchUpInterval = 50 * time.Millisecond
 )
 
@@ -135,7 +135,7 @@
 	}
 	if snapshot.Listed && (!w.view.Load().Listed || snapshot.List.Offset > w.list.Offset) {
 		snapshot.List.Age += w.now() - requestedAt
-		w.list.Restore(w.now(), snapshot.List, w.inOutageWindow())
+		w.list.Restore(w.now(), snapshot.List)
 		w.publishList()
 		w.deps.Log.Info("upstreams taken from a host", "host", m.Host, "position", w.list.Offset)
 	}
--- a/sardinegate/watch/watch.go
+++ b/sardinegate/watch/watch.go
@@ -15,10 +15,6 @@
 	"sardinecross.example/sardinegate/mesh"
 )
 
-// outageWindow is how long after a failed call to the store the removal of an upstream counts as a lapse, which may be
-// due to the outage instead of the upstream.
-const outageWindow = 2500 * time.Millisecond
-
 // Node exchanges messages with the other hosts; see mesh.Node.
 type Node interface {
 	// Alive returns the other hosts that are alive, sorted by name.
@@ -27,6 +23,8 @@
 	RankHosts(task string, leaving bool) []string
 	// Broadcast sends a message to all hosts that are alive. It may be lost.
 	Broadcast(m *mesh.Message)
+	// Send sends a message to a host and reports whether the host is known. It may be lost.
+	Send(host string, m *mesh.Message) bool
 	// AddAddress adds the address of a host that may be alive, and SendHeartbeat sends a heartbeat to all known addresses.
 	AddAddress(addr netip.Addr)
 	SendHeartbeat()
@@ -73,8 +71,6 @@
 	operatorsAsOf     time.Duration
 	// operatorRecords holds the newest operators' record of each key, for hosts that cannot read the store.
 	operatorRecords map[string]fleet.Record
-	// lastFailure is when a call to the store last failed.
-	lastFailure time.Duration
 	// storeDown is set from a failed call to the store until the next that succeeds.
 	storeDown bool
 }
@@ -83,7 +79,7 @@
 func New(deps Deps) *Watcher {
 	w := &Watcher{
 		deps: deps, start: time.Now(), hostClient: httpc.New(1),
-		list: fleet.NewList(), operatorRecords: make(map[string]fleet.Record), lastFailure: -outageWindow,
+		list: fleet.NewList(), operatorRecords: make(map[string]fleet.Record),
 		serving: make(chan struct{}, maxServed),
 	}
 	w.fetch = func(ctx context.Context, m mesh.Member) ([]byte, error) { return w.requestSnapshot(ctx, m.Address()) }
@@ -124,7 +120,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.now()
-	return now - w.operatorsAsOf, now - w.list.AsOf
+	return now - w.operatorsAsOf, now - w.list.Reads.Last
 }
 
 // now returns the time since the watcher was created.
@@ -167,9 +163,6 @@
 	w.mu.Lock()
 	wasDown := w.storeDown
 	w.storeDown = err != nil
-	if err != nil {
-		w.lastFailure = w.now()
-	}
 	w.mu.Unlock()
 	switch {
 	case err != nil:
@@ -181,7 +174,3 @@
 		w.deps.Log.Info("store regained", "call", call)
 	}
 }
-
-// inOutageWindow reports whether the store failed so recently that removals of upstreams may be due to the outage. w.mu
-// must be held.
-func (w *Watcher) inOutageWindow() bool { return w.now()-w.lastFailure < outageWindow }
--- a/sardinegate/watch/watch_test.go
+++ b/sardinegate/watch/watch_test.go
@@ -186,7 +186,8 @@
 }
 
 // Guards against the loss of all upstreams after an outage of the store: they cannot renew their entries meanwhile, so
-// the first read afterwards finds them removed. They must stay usable until LapseGrace has passed.
+// the first read afterwards finds them removed. They must stay usable until LapseGrace has passed. The outage lasts for
+// longer than OutageGap; a shorter one lets no entry lapse.
 func TestUpstreamsSurviveLapseDuringOutage(t *testing.T) {
 	s := newMemorySource()
 	s.put(fleet.Operators, "config", 1)
@@ -196,6 +197,7 @@
 	eventually(t, "the first view", func() bool { return len(w.View().Upstreams) == 2 })
 	s.locked(func() { s.broken = true })
 	eventually(t, "a failed call to the store", func() bool { return w.FailedStoreCalls.Load() > 0 })
+	eventually(t, "an outage in which entries can lapse", func() bool { _, age := w.Ages(); return age > fleet.OutageGap })
 	s.put(fleet.Upstreams, "a", nil)
 	s.put(fleet.Upstreams, "b", nil)
 	s.locked(func() { s.broken = false })
