pool, entry: Never send two attempts of a request over one connection

Cause: the ID in a response names the request, and all attempts of a request have the same. While an upstream is back at its address under a new ID and the old one is listed as well, two attempts go to one address, and the second one took the connection of the first. A faulty upstream repeats a response where the next one is expected: the copy of the first refusal was taken for the answer of the second attempt, which ran.

Change: of what an upstream returns, only the connection tells the attempts apart. A call holds the connections that its attempts have used, and the pool gives it none of them again. If no other one is idle, the used one is closed in favour of a new one, so that the limit of connections does not keep the attempt from being sent.

Looked at besides: responses to a request whose caller has left (the connection closes), a body that is still sent (closes), interim responses (never final), hedges (never over the same connection at the same time; the connection of an ended one is excluded now). Probes have no ID: a copy of a health response can be taken for the next one on the connection; not changed.

--- a/sardinegate/entry/entry.go
+++ b/sardinegate/entry/entry.go
@@ -121,6 +121,8 @@
 	body         []byte
 	bodyRest     io.Reader
 	attempts     []*attempt
+	// conns holds the connections over which the attempts were sent.
+	conns pool.Used
 	// unusable holds the IDs of upstreams that were granted but not usable any more.
 	unusable []string
 	// hedges receives the hedges that the owner offers; nil if the request may not be hedged.
--- a/sardinegate/entry/run.go
+++ b/sardinegate/entry/run.go
@@ -252,6 +252,7 @@
 		Matches: func(resp *http.Response) bool {
 			return h.deps.Codec.ParseResponse(resp.StatusCode, resp.Header).RequestID == c.id
 		},
+		Used:    &c.conns,
 		MaySend: func() bool { return h.deps.Selector.MaySend(u) && h.keepsKey(c, organisation) },
 		OnHeader: func(status int, header http.Header) {
 			h.recordNotice(u, status, header)
--- a/sardinegate/pool/faulty_test.go
+++ b/sardinegate/pool/faulty_test.go
@@ -182,3 +182,70 @@
 	r.OnHeader = func(_ int, h http.Header) { reported <- h.Get("Id") }
 	assertBody(t, p, r, "x")
 }
+
+// startRepeatingUpstream starts an upstream that refuses the first request on its first connection, and writes the refusal once more before it
+// answers the next request there. It runs all other requests and counts them in ran.
+func startRepeatingUpstream(t *testing.T, ran *atomic.Int64) (address string) {
+	t.Helper()
+	return startUpstream(t, func(_ *testing.T, nc net.Conn, br *bufio.Reader, n int) {
+		refusal := ""
+		for id, ok := readRequestID(br); ok; id, ok = readRequestID(br) {
+			if n == 0 && refusal == "" {
+				refusal = "HTTP/1.1 421 Misdirected Request\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n"
+				_, _ = io.WriteString(nc, refusal)
+				continue
+			}
+			if n == 0 {
+				_, _ = io.WriteString(nc, refusal)
+			}
+			ran.Add(1)
+			respond(nc, id, "ran")
+		}
+	})
+}
+
+// Guards against the repeated refusal of the first attempt of a request that is taken for the answer to its second attempt, which the
+// upstream runs. Both have the same ID. The limit of connections must not keep the second one from being sent.
+func TestRepeatedRefusalOfAnEarlierAttemptIsNoAnswer(t *testing.T) {
+	for name, maxConns := range map[string]int{"no limit": 0, "one connection": 1} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(t)
+			p.SetMaxConnsPerUpstream(maxConns)
+			var ran atomic.Int64
+			addr := startRepeatingUpstream(t, &ran)
+			var used Used
+			first := newRequest(addr, "1")
+			first.Used = &used
+			if resp, err := p.Do(context.Background(), first); err != nil || resp.Status != http.StatusMisdirectedRequest {
+				t.Fatalf("got %+v, %v, want the refusal", resp, err)
+			}
+			second := newRequest(addr, "1")
+			second.Used = &used
+			assertBody(t, p, second, "ran")
+			if n := ran.Load(); n != 1 {
+				t.Fatalf("the upstream ran the request %d times, want 1", n)
+			}
+		})
+	}
+}
+
+// Guards against a pool that opens connections without need: each further attempt of a request opens one at most, and other requests use
+// those that the attempts have used.
+func TestFurtherAttemptsOpenOneConnectionEach(t *testing.T) {
+	p := newPool(t)
+	addr := startUpstream(t, func(_ *testing.T, nc net.Conn, br *bufio.Reader, _ int) {
+		for id, ok := readRequestID(br); ok; id, ok = readRequestID(br) {
+			respond(nc, id, "ran")
+		}
+	})
+	var used Used
+	for range 3 {
+		r := newRequest(addr, "1")
+		r.Used = &used
+		assertBody(t, p, r, "ran")
+		assertBody(t, p, newRequest(addr, "2"), "ran")
+	}
+	if n := p.Dials.Load(); n != 3 {
+		t.Fatalf("%d connections opened for three attempts of a request and three other requests, want 3", n)
+	}
+}
--- a/sardinegate/pool/pool.go
+++ b/sardinegate/pool/pool.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -52,6 +53,9 @@
 	ContentLength int64
 	// Matches reports whether a response belongs to this request. Do skips other responses.
 	Matches func(*http.Response) bool
+	// Used holds the connections of earlier attempts of the same request, whose responses Matches does not tell from those of this
+	// one. Do uses none of them and adds its own. It is nil if there are no other attempts.
+	Used *Used
 	// MaySend, if not nil, is asked when a connection is open, right before the request is written to it. If it returns
 	// false, Do fails with a WithheldError.
 	MaySend func() bool
@@ -159,23 +163,38 @@
 	}
 }
 
-// acquire returns the idle connection that was used last, or opens a new one within the limit.
-func (p *Pool) acquire(ctx context.Context, address string) (*conn, error) {
-	now := time.Now()
-	p.mu.Lock()
-	for {
-		conns := p.idle[address]
-		if len(conns) == 0 {
-			break
-		}
-		c := conns[len(conns)-1]
-		p.idle[address] = conns[:len(conns)-1]
-		if c.usable(now) {
-			p.mu.Unlock()
+// acquire returns an idle connection that is not in used, or opens a new one within the limit.
+func (p *Pool) acquire(ctx context.Context, address string, used *Used) (*conn, error) {
+	for c := p.takeIdle(address, used); c != nil; c = p.takeIdle(address, used) {
+		if c.usable(time.Now()) && !used.holds(c) {
 			return c, nil
 		}
-		go c.close()
+		c.close()
 	}
+	return p.open(ctx, address)
+}
+
+// takeIdle removes and returns the idle connection that was used last and is not in used. If there are only others, it returns one of
+// them, so that it can be closed in favour of a new one. It returns nil if there is none.
+func (p *Pool) takeIdle(address string, used *Used) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[address]
+	if len(conns) == 0 {
+		return nil
+	}
+	i := len(conns) - 1
+	for i > 0 && used.holds(conns[i]) {
+		i--
+	}
+	c := conns[i]
+	p.idle[address] = slices.Delete(conns, i, i+1)
+	return c
+}
+
+// open opens a connection within the limit.
+func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
+	p.mu.Lock()
 	if limit := p.maxConnsPerUpstream.Load(); p.closed || limit > 0 && int64(p.openCount[address]) >= limit {
 		p.mu.Unlock()
 		return nil, &ConnLimitError{address}
@@ -237,7 +256,7 @@
 // connection that its upstream has closed meanwhile.
 func (p *Pool) prepare(ctx context.Context, r *Request) (*conn, error) {
 	for {
-		c, err := p.acquire(ctx, r.Address)
+		c, err := p.acquire(ctx, r.Address, r.Used)
 		if err != nil {
 			return nil, err
 		}
@@ -246,6 +265,7 @@
 			return nil, &WithheldError{r.Address}
 		}
 		if c.expectResponse(&http.Request{Method: r.Method}) {
+			r.Used.add(c)
 			return c, nil
 		}
 		if !c.reused {
