mesh, grant, quota: Let one host decide for all after hosts start together

Cold upstreams crash and drop the callers' orders when they get far more than their cold rate.

Cause: only ready hosts are in the order of owners, and a host told that it was ready with its next heartbeat, up to 400 ms later. Until then each host was the only one in its own order, and granted the cold rate, the retry budget and the limits of organisations as if alone.

Change: a host has a phase. While it may not have heard all hosts, it grants what all may grant together only as a host without an owner does. While others that have started may be ready, it grants it only if it goes before all of them, ready or not. A host that becomes ready says so at once. Callers wait for nothing; what exceeds no bound (the choice of an upstream, the queue, hedges, reading, probing) stays as it was.

Ruled out: asking the first host whether it is ready or not, which costs 25 ms and ends at the next that is not; the heartbeat alone, as tables between data centres leave several owners for longer.

The brokers of the tests tell their nodes that they know all addresses, as a host does.

--- a/lib/grant/grant_test.go
+++ b/lib/grant/grant_test.go
@@ -458,3 +458,39 @@
 	}
 	assertSearches(t, s, before, 1+maxFailedSearches)
 }
+
+// Guards against hosts that each grant the whole cold rate and the whole retry budget of a service while several may own it. Other
+// requests are granted and queued meanwhile.
+func TestSharedServiceGrantsNoColdRate(t *testing.T) {
+	cold, warm := upstreamIn("cold", passau), upstreamIn("warm", landshut)
+	cold.ColdFor = time.Minute
+	s := newState(t, cold, warm)
+	s.SetShared("booking", true)
+	for range 3 { // up to the knee
+		assertGranted(t, s.Decide(0, 0, newRequest()), "warm")
+	}
+	assertRefused(t, s.Decide(0, 0, newRequest()), Queued)
+	s.SetShared("booking", false)
+	assertGranted(t, s.Decide(0, 0, newRequest()), "cold")
+}
+
+// Guards against retries beyond the budget when several hosts own a service: each of them may use its part of what is left to hosts
+// without an owner.
+func TestSharedServiceGrantsPartOfTheRetries(t *testing.T) {
+	warm := upstreamIn("warm", landshut)
+	warm.Slots = 100
+	s := newState(t, warm)
+	s.SetShared("booking", true)
+	retries := 0
+	for range 20 {
+		req := newRequest()
+		req.CountsAsRetry, req.Tried = true, []string{"other"}
+		if s.Decide(settings().RetryWindow, 0, req).Upstream != "" {
+			retries++
+		}
+	}
+	cfg := settings()
+	if most := cfg.RetrySlack * ownerlessRetryShare / float64(cfg.Hosts); float64(retries) > most {
+		t.Errorf("%d retries granted, want at most %g", retries, most)
+	}
+}
--- a/lib/grant/pick.go
+++ b/lib/grant/pick.go
@@ -35,7 +35,7 @@
 			c.Out++
 		case slices.Contains(req.Tried, u.ID):
 			c.Tried++
-		case u.isCold(now) && (req.WithoutOwner || u.coldTokens < 1):
+		case u.isCold(now) && (svc.ownerless(req) || u.coldTokens < 1):
 			c.Cold++
 		case u.dead(now):
 			c.Dead++
@@ -47,9 +47,13 @@
 	return sel
 }
 
+// ownerless reports whether other hosts may decide on requests of the service at the same time, so that this host must not grant all of
+// what they may grant together.
+func (svc *service) ownerless(req *AttemptRequest) bool { return req.WithoutOwner || svc.shared }
+
 // budgetFor returns the retry budget that a request counts against.
 func (svc *service) budgetFor(req *AttemptRequest) *retryBudget {
-	if req.WithoutOwner {
+	if svc.ownerless(req) {
 		return &svc.ownerlessBudget
 	}
 	return &svc.ownerBudget
@@ -65,7 +69,7 @@
 		return Selection{Reason: NoUpstream}
 	case req.Hedge && !s.hedgeSavesTime(now, svc, req, eta):
 		return Selection{Reason: NoGain}
-	case req.CountsAsRetry && !s.takeRetry(now, svc.budgetFor(req), req.WithoutOwner):
+	case req.CountsAsRetry && !s.takeRetry(now, svc.budgetFor(req), svc.ownerless(req)):
 		return Selection{Reason: NoBudget}
 	}
 	sel := Selection{
@@ -191,7 +195,7 @@
 		return false
 	}
 	if u.isCold(now) {
-		return !req.WithoutOwner && u.refill(now, svc.coldPerSecond) >= 1
+		return !svc.ownerless(req) && u.refill(now, svc.coldPerSecond) >= 1
 	}
 	return true
 }
--- a/lib/grant/state.go
+++ b/lib/grant/state.go
@@ -18,6 +18,8 @@
 	averageTime     time.Duration // average response time without machine slowdown
 	ownerBudget     retryBudget   // for decisions as the owner
 	ownerlessBudget retryBudget   // for decisions without the owner
+	// shared is set while other hosts may decide as owners of the service as well; see State.SetShared.
+	shared bool
 	// rollout is the rollout of the service, nil if there is none; see version.go.
 	rollout *canary.Rollout
 	// classes holds the requests that wait for capacity; evicted, those that have left the queue and get no upstream.
@@ -63,6 +65,10 @@
 	return float64(s.cfg.Reached) / float64(max(s.cfg.Hosts, s.cfg.Reached))
 }
 
+// SetShared sets whether other hosts may decide as owners of a service at the same time as this one. While they may, requests are
+// decided like those without an owner as regards what all hosts together may grant: the cold rate and the retry budget.
+func (s *State) SetShared(service string, shared bool) { s.service(service).shared = shared }
+
 // SetRetryBudget sets the retry budget that all hosts share; see Settings.
 func (s *State) SetRetryBudget(ratio, slack float64, window time.Duration) {
 	s.cfg.RetryRatio, s.cfg.RetrySlack, s.cfg.RetryWindow = ratio, slack, window
--- a/proofs/guards_test.go
+++ b/proofs/guards_test.go
@@ -95,7 +95,36 @@
 	}
 	time.Sleep(time.Second)
 	assertInvariants(t, l.stop(), s.platformStats())
-	at := arrivalTimes(s.platformStats(), "enquiry")
+	s.assertColdRate(t, "enquiry")
+}
+
+// Guards against cold upstreams that get the whole cold rate from each host when all hosts start together: until they have heard
+// that others are ready, each may take itself for the owner of the service.
+func TestGateColdRateWhenAllHostsStart(t *testing.T) {
+	s := newGateSite(t, 6)
+	for _, id := range s.platformStats().Upstreams["enquiry/passau"] {
+		s.sendCommand(map[string]any{"Chill": id, "ColdMS": 15_000})
+	}
+	s.sendCommand(map[string]any{"Out": "landshut"})
+	time.Sleep(time.Second)
+	l := s.startLoad(24, "enquiry")
+	for range 3 {
+		for _, h := range s.hosts {
+			s.killHost(h)
+		}
+		for _, h := range s.hosts {
+			s.startHost(h)
+		}
+		time.Sleep(3 * time.Second)
+	}
+	assertInvariants(t, l.stop(), s.platformStats())
+	s.assertColdRate(t, "enquiry")
+}
+
+// assertColdRate checks that the upstreams of a service got requests, and each no more than a cold one may get within a second.
+func (s *gateSite) assertColdRate(t *testing.T, service string) {
+	t.Helper()
+	at := arrivalTimes(s.platformStats(), service)
 	if len(at) == 0 {
 		t.Error("cold upstreams got no requests")
 	}
--- a/sardinegate/broker/broker.go
+++ b/sardinegate/broker/broker.go
@@ -27,6 +27,8 @@
 	expireInterval = 500 * time.Millisecond
 	// ownerOrderLifetime is how long the order of owners of a service is cached.
 	ownerOrderLifetime = 100 * time.Millisecond
+	// disputedOrderLifetime replaces it while other hosts may own the service as well, which ends soon.
+	disputedOrderLifetime = 20 * time.Millisecond
 )
 
 // Decision is the selection for an attempt and the host that made it.
@@ -62,6 +64,8 @@
 // ownerOrder is a cached result of mesh.Node.RankHosts; validUntil is on the broker's clock.
 type ownerOrder struct {
 	hosts []string
+	// disputed is set while another host may take itself for the owner; see mesh.Node.Undisputed.
+	disputed bool
 	// first holds the first host of each data centre, nil until site needs it.
 	first      map[string]string
 	validUntil time.Duration
@@ -184,10 +188,11 @@
 	o := b.ownerOrders[service]
 	if now >= o.validUntil {
 		before := o.hosts
-		o = ownerOrder{hosts: b.deps.Node.RankHosts(service, b.deps.Leaving()), validUntil: now + ownerOrderLifetime}
+		o = b.orderOwners(now, service)
 		b.ownerOrders[service] = o
+		b.state.SetShared(service, o.disputed)
 		if len(o.hosts) > 0 && (len(before) == 0 || before[0] != o.hosts[0]) {
-			b.deps.Log.Info("owner changed", "service", service, "owner", o.hosts[0], "hosts", len(o.hosts))
+			b.deps.Log.Info("owner changed", "service", service, "owner", o.hosts[0], "hosts", len(o.hosts), "disputed", o.disputed)
 		}
 	}
 	for _, host := range o.hosts {
@@ -198,6 +203,16 @@
 	return b.deps.Host
 }
 
+// orderOwners returns the present order of owners of a service.
+func (b *Broker) orderOwners(now time.Duration, service string) ownerOrder {
+	leaving := b.deps.Leaving()
+	o := ownerOrder{hosts: b.deps.Node.RankHosts(service, leaving), validUntil: now + ownerOrderLifetime}
+	if !b.deps.Node.Undisputed(service, leaving) {
+		o.disputed, o.validUntil = true, now+disputedOrderLifetime
+	}
+	return o
+}
+
 // Decide returns the owner's decision on a request for an upstream, or this host's own if the owner does not answer in
 // time. Until the attempt has ended, the owner may offer a hedge. The hedge is sent to hedges; if the send would block, or
 // hedges is nil, the hedge ends as unused.
@@ -310,6 +325,7 @@
 		req := *m.AttemptRequest
 		req.Route = m.Route
 		b.mu.Lock()
+		b.owner(now, req.Service) // it may be disputed
 		sel := b.state.Decide(now, rand.Float64(), req)
 		b.work.decisions++
 		b.work.deciding += b.now() - now
--- a/sardinegate/broker/broker_test.go
+++ b/sardinegate/broker/broker_test.go
@@ -69,6 +69,7 @@
 			node.AddAddress(netip.AddrFrom4([4]byte{127, 0, 1, byte(j + 1)}))
 		}
 		node.SendHeartbeat()
+		node.AddressesKnown()
 		all[name] = &host{b, node, view}
 		t.Cleanup(func() {
 			b.Close()
--- a/sardinegate/gate.go
+++ b/sardinegate/gate.go
@@ -133,6 +133,7 @@
 		g.node.AddAddress(addr.Addr())
 	}
 	g.watcher.Start()
+	g.wg.Go(g.announceReady)
 	return g, g.listen(g.newStats())
 }
 
--- a/sardinegate/listen.go
+++ b/sardinegate/listen.go
@@ -30,6 +30,8 @@
 	// joinTimeout is how long a host with a complete view waits for other hosts before it serves callers. It may be the only
 	// one.
 	joinTimeout = 300 * time.Millisecond
+	// readyCheckInterval is the time between checks whether a started host is ready.
+	readyCheckInterval = 10 * time.Millisecond
 	// idleTimeout applies to connections from the platform and from other hosts, not from callers.
 	idleTimeout = 90 * time.Second
 	// sendBufferBytes is the size of the send buffer of connections on which other hosts copy what this host knows.
@@ -120,6 +122,17 @@
 	return completeAt > 0 && (g.node.Joined() || time.Since(g.start) > completeAt+joinTimeout)
 }
 
+// announceReady tells the other hosts that this one is ready as soon as it is, so that they agree on the owners of services.
+func (g *gate) announceReady() {
+	for !g.mayServe() {
+		if g.stop.Begun() {
+			return
+		}
+		time.Sleep(readyCheckInterval)
+	}
+	g.node.SendHeartbeat()
+}
+
 // servingView returns the view for requests of callers, which is empty while the host may not serve them.
 func (g *gate) servingView() *fleet.View {
 	if !g.mayServe() {
--- a/sardinegate/mesh/member.go
+++ b/sardinegate/mesh/member.go
@@ -14,7 +14,9 @@
 	Capacity                        int
 	OperatorsPosition, ListPosition int64
 	boot                            int64
-	addr                            netip.AddrPort
+	// heardSince is when the present lifetime of the host was first heard.
+	heardSince time.Duration
+	addr       netip.AddrPort
 	// lastReceived is when the host was last heard, itself or in a table, lastDirect when it was heard itself.
 	lastReceived, lastDirect time.Duration
 	// cold holds the upstreams that the host found cold as of coldAt.
@@ -51,10 +53,11 @@
 		n.members[m.From] = member
 	}
 	changed := false
+	now := n.now()
 	if m.Boot != member.boot {
 		member.relays = false // the program may be an earlier version
+		member.heardSince = now
 	}
-	now := n.now()
 	member.boot, member.addr, member.lastReceived, member.lastDirect, member.lossLogged = m.Boot, from, now, now, false
 	n.firstMessageAt.CompareAndSwap(0, int64(n.now()))
 	if hb := m.Heartbeat; hb != nil {
--- a/sardinegate/mesh/mesh.go
+++ b/sardinegate/mesh/mesh.go
@@ -62,8 +62,10 @@
 	status  atomic.Pointer[func() Heartbeat]
 	onAlive atomic.Pointer[func(host string)]
 
-	// firstMessageAt is when the first message of another host was received; 0 before that.
-	firstMessageAt atomic.Int64
+	// startedAt is when the node was created. firstMessageAt is when the first message of another host was received, addressesAt
+	// when the addresses of all hosts were known; 0 before that.
+	startedAt                   time.Duration
+	firstMessageAt, addressesAt atomic.Int64
 
 	// Sent and Received count datagrams. Invalid counts messages that could not be encoded or decoded, have invalid values, or
 	// name no other host as the sender. Newer counts those with fields that this program does not know.
@@ -108,6 +110,7 @@
 		self:        self,
 		conn:        conn,
 		clock:       clock,
+		startedAt:   clock(),
 		log:         log,
 		stop:        make(chan struct{}),
 		members:     make(map[string]*Member),
--- a/sardinegate/mesh/rank.go
+++ b/sardinegate/mesh/rank.go
@@ -23,13 +23,19 @@
 // are spread and a small host does none while there is a larger one. The list includes this host unless leaving is set.
 // Hosts that agree on which hosts are alive, ready and leaving return the same list.
 func (n *Node) RankHosts(task string, leaving bool) []string {
+	return n.rankMembers(task, leaving, func(m *Member) bool { return m.Ready })
+}
+
+// rankMembers ranks the live members for which mayAct returns true, and this host unless leaving is set. mayAct is called with n.mu
+// held.
+func (n *Node) rankMembers(task string, leaving bool, mayAct func(m *Member) bool) []string {
 	var all []candidate
 	if !leaving {
 		all = append(all, newCandidate(task, n.self.Host, n.self.Capacity))
 	}
 	n.mu.Lock()
 	for _, m := range n.members {
-		if n.alive(m) && !m.Leaving && m.Ready {
+		if n.alive(m) && !m.Leaving && mayAct(m) {
 			all = append(all, newCandidate(task, m.Host, m.Capacity))
 		}
 	}
--- a/sardinegate/mesh/relay_test.go
+++ b/sardinegate/mesh/relay_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -134,10 +135,15 @@
 	f.now = end
 }
 
+// newEmptyFleet returns a fleet without hosts.
+func newEmptyFleet(t *testing.T, seed uint64) *simFleet {
+	return &simFleet{t: t, rng: rand.New(rand.NewPCG(seed, 0)), seed: seed, now: time.Second, links: make(map[[2]netip.Addr]*rand.Rand),
+		nodes: make(map[netip.Addr]*simNode), others: make(map[netip.Addr]func([]byte))}
+}
+
 // newFleet starts hostsEach hosts in each data centre within 0.3 s and runs them for two seconds.
 func newFleet(t *testing.T, dataCentres, hostsEach int, seed uint64) *simFleet {
-	f := &simFleet{t: t, rng: rand.New(rand.NewPCG(seed, 0)), seed: seed, now: time.Second, links: make(map[[2]netip.Addr]*rand.Rand),
-		nodes: make(map[netip.Addr]*simNode), others: make(map[netip.Addr]func([]byte))}
+	f := newEmptyFleet(t, seed)
 	for i := range hostsEach {
 		for dc := range dataCentres {
 			f.after(time.Duration(f.rng.Int64N(int64(300*time.Millisecond))), func() { f.start(dc, i, 1) })
@@ -154,6 +160,16 @@
 
 // start starts a host, which knows the addresses of all that run.
 func (f *simFleet) start(dc, i int, boot int64) {
+	others := slices.Collect(maps.Keys(f.nodes))
+	n := f.create(dc, i, boot)
+	for _, other := range others {
+		n.AddAddress(other)
+	}
+	f.beat(n)
+}
+
+// create creates a host that is ready, knows no addresses and sends no heartbeats yet.
+func (f *simFleet) create(dc, i int, boot int64) *simNode {
 	ip := address(dc, i)
 	n := &simNode{fleet: f, ip: ip, coldUntil: make(map[string]time.Duration)}
 	self := Self{
@@ -178,11 +194,8 @@
 	}
 	n.status.Store(&status)
 	n.handler.Store(&handler)
-	for _, other := range f.nodes {
-		n.AddAddress(other.ip)
-	}
 	f.nodes[ip] = n
-	f.beat(n)
+	return n
 }
 
 // beat sends the heartbeats of a node as Start does.
--- a/sardinegate/mesh/table.go
+++ b/sardinegate/mesh/table.go
@@ -199,6 +199,9 @@
 		m = &Member{Host: e.Host, lastReceived: now - tableAge}
 		n.members[e.Host] = m
 	}
+	if e.Boot != m.boot {
+		m.heardSince = now
+	}
 	if !becomesAlive && (m.Leaving != e.Leaving || m.Ready != e.Ready) {
 		n.log.Info("host changed", "host", e.Host, "ready", e.Ready, "leaving", e.Leaving)
 	}
--- a/sardinegate/quota/owners.go
+++ b/sardinegate/quota/owners.go
@@ -40,7 +40,7 @@
 	for _, m := range members {
 		if before[m] {
 			delete(before, m)
-		} else if m.mayOwn() {
+		} else if q.mayOwn(m) {
 			all = true
 		}
 	}
@@ -64,7 +64,8 @@
 	}
 }
 
-func (m memberKey) mayOwn() bool { return m.ready && !m.leaving }
+// mayOwn reports whether a host may own organisations, also if it has not said yet that it is ready while this host starts.
+func (q *Quota) mayOwn(m memberKey) bool { return (m.ready || q.phase != mesh.Running) && !m.leaving }
 
 // rankStale computes the orders of up to maxRanked organisations that are queued, and of all that this host owns if it is leaving.
 // It adds the levels to hand over. q.mu must be held.
@@ -91,13 +92,22 @@
 	}
 }
 
+// position returns the position of this host in an order of owners, negative if it may grant nothing as one of them: it is leaving,
+// or does not know all hosts yet.
+func (q *Quota) position(order []string) int {
+	if q.phase == mesh.Joining {
+		return -1
+	}
+	return slices.Index(order, q.deps.Host)
+}
+
 // rank computes the order of an organisation, takes over its level if one was handed over, and adds the one to hand over. q.mu must
 // be held.
 func (q *Quota) rank(now time.Duration, o *orgs.Organisation, transfers map[string][]mesh.AllowanceLevel) {
-	order := q.deps.Node.RankHosts("allowance "+o.Name, q.leaving)
+	order := q.deps.Node.RankRunning("allowance "+o.Name, q.leaving)
 	order = slices.Clone(order[:min(maxOrder, len(order))])
 	q.orders[o.Name] = ownerOrder{hosts: order}
-	level, handOver := q.state.SetPosition(now, o.Name, limitOf(o), slices.Index(order, q.deps.Host))
+	level, handOver := q.state.SetPosition(now, o.Name, limitOf(o), q.position(order))
 	if handOver && len(order) > 0 {
 		transfers[order[0]] = append(transfers[order[0]], mesh.AllowanceLevel{Organisation: o.Name, Level: level})
 	}
--- a/sardinegate/quota/owners_test.go
+++ b/sardinegate/quota/owners_test.go
@@ -30,7 +30,9 @@
 	return true
 }
 
-func (n *largeNode) RankHosts(task string, leaving bool) []string {
+func (n *largeNode) Phase() mesh.Phase { return mesh.Running }
+
+func (n *largeNode) RankRunning(task string, leaving bool) []string {
 	n.ranked++
 	type candidate struct {
 		host string
@@ -125,7 +127,7 @@
 			t.Errorf("%s: %d orders were computed, %d in one update, want at most %d and %d", c.what, sum, most, c.sum, c.most)
 		}
 		for _, o := range s.table.All() {
-			if want := s.node.RankHosts("allowance "+o.Name, false)[:maxOrder]; !slices.Equal(s.orders[o.Name].hosts, want) {
+			if want := s.node.RankRunning("allowance "+o.Name, false)[:maxOrder]; !slices.Equal(s.orders[o.Name].hosts, want) {
 				t.Fatalf("%s: %s has the order %v, want %v", c.what, o.Name, s.orders[o.Name].hosts, want)
 			}
 		}
@@ -142,7 +144,7 @@
 	s.node.hosts = all
 	s.update()
 	o := s.stale[len(s.stale)-1]
-	if granted, _ := s.Take(t.Context(), o, false); granted && s.node.RankHosts("allowance "+o.Name, false)[0] != "edge-000" {
+	if granted, _ := s.Take(t.Context(), o, false); granted && s.node.RankRunning("allowance "+o.Name, false)[0] != "edge-000" {
 		t.Error("a host that is no longer the owner granted a unit")
 	}
 	if s.orders[o.Name].stale {
--- a/sardinegate/quota/quota.go
+++ b/sardinegate/quota/quota.go
@@ -40,7 +40,8 @@
 // node sends messages to the other hosts; see mesh.Node.
 type node interface {
 	Send(host string, m *mesh.Message) bool
-	RankHosts(task string, leaving bool) []string
+	Phase() mesh.Phase
+	RankRunning(task string, leaving bool) []string
 	Reach() (known, alive int)
 	Unheard() int
 	Alive() []mesh.Member
@@ -78,8 +79,10 @@
 	table   *orgs.Table
 	members []memberKey
 	leaving bool
-	orders  map[string]ownerOrder
-	stale   []*orgs.Organisation
+	// phase is that of this host when the orders were last queued.
+	phase  mesh.Phase
+	orders map[string]ownerOrder
+	stale  []*orgs.Organisation
 	// seq numbers the requests, returns and transfers of this process.
 	seq uint64
 	// pending holds the channels of requests that wait for an answer, late those that no longer do, with the time.
@@ -189,13 +192,14 @@
 			delete(q.late, seq)
 		}
 	}
-	leaving := q.deps.Leaving()
+	leaving, phase := q.deps.Leaving(), q.deps.Node.Phase()
 	var members []memberKey
 	for _, m := range q.deps.Node.Alive() {
 		members = append(members, memberKey{m.Host, m.Ready, m.Leaving, m.Capacity})
 	}
-	if table != q.table || leaving != q.leaving || q.members == nil || !slices.Equal(members, q.members) {
-		changed := table != q.table
+	if table != q.table || leaving != q.leaving || phase != q.phase || q.members == nil || !slices.Equal(members, q.members) {
+		changed := table != q.table || phase != q.phase
+		q.phase = phase
 		q.setTable(now, table)
 		q.queueChanges(members, leaving, changed)
 		q.members, q.leaving = append([]memberKey{}, members...), leaving
--- a/sardinegate/quota/quota_test.go
+++ b/sardinegate/quota/quota_test.go
@@ -15,14 +15,16 @@
 
 // network passes messages between the hosts of a test. Those to hosts in cut are lost; with twice, each message comes twice.
 type network struct {
-	mu     sync.Mutex
-	hosts  map[string]*Quota
-	names  []string
-	cut    map[string]bool
-	gone   map[string]bool
-	twice  bool
-	delay  time.Duration
-	counts int
+	mu    sync.Mutex
+	hosts map[string]*Quota
+	names []string
+	cut   map[string]bool
+	gone  map[string]bool
+	twice bool
+	// joining is set while the hosts do not know of each other, and each ranks only itself.
+	joining bool
+	delay   time.Duration
+	counts  int
 }
 
 type netNode struct {
@@ -47,9 +49,22 @@
 	return true
 }
 
-func (n netNode) RankHosts(_ string, leaving bool) []string {
+// Phase returns Joining until the network's joining hosts have settled.
+func (n netNode) Phase() mesh.Phase {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.joining {
+		return mesh.Joining
+	}
+	return mesh.Running
+}
+
+func (n netNode) RankRunning(_ string, leaving bool) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.joining {
+		return []string{n.host}
+	}
 	return slices.DeleteFunc(slices.Clone(n.names), func(h string) bool { return n.gone[h] || leaving && h == n.host })
 }
 
@@ -71,13 +86,24 @@
 
 // start starts hosts a, b and c in the bubble of a test, with the limit of one organisation, and waits until its bucket is full.
 func start(t *testing.T, rate, burst float64) (*network, *orgs.Organisation) {
+	t.Helper()
+	n, o := startJoining(t, rate, burst)
+	n.mu.Lock()
+	n.joining = false
+	n.mu.Unlock()
+	time.Sleep(10 * time.Second)
+	return n, o
+}
+
+// startJoining starts the hosts, which do not know of each other yet.
+func startJoining(t *testing.T, rate, burst float64) (*network, *orgs.Organisation) {
 	t.Helper()
 	table, err := orgs.New([]orgs.Organisation{{Name: "hofbauer", Rate: rate, Burst: burst}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	o, _ := table.Get("hofbauer")
-	n := &network{hosts: make(map[string]*Quota), names: []string{"a", "b", "c"}, cut: make(map[string]bool), gone: make(map[string]bool), delay: time.Millisecond}
+	n := &network{hosts: make(map[string]*Quota), names: []string{"a", "b", "c"}, cut: make(map[string]bool), gone: make(map[string]bool), delay: time.Millisecond, joining: true}
 	begin := time.Now()
 	for _, host := range n.names {
 		q := New(Deps{
@@ -90,7 +116,6 @@
 		n.hosts[host] = q
 		n.mu.Unlock()
 	}
-	time.Sleep(10 * time.Second)
 	return n, o
 }
 
@@ -224,3 +249,23 @@
 		}
 	})
 }
+
+// Guards against the whole limit at each of the hosts that start together, as each takes itself for the owner until it has heard the others.
+func TestHostsThatStartTogetherGrantOneLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const rate, burst = 40, 20
+		n, o := startJoining(t, rate, burst)
+		defer n.close()
+		granted := 0
+		for range 10 {
+			time.Sleep(100 * time.Millisecond)
+			for _, host := range n.names {
+				granted += take(t, n.hosts[host], o, 20)
+			}
+		}
+		// Nothing as owners, and together the share of hosts that decide alone.
+		if most := (0.1*(5*rate+burst) + 20) / 4; float64(granted) > most {
+			t.Errorf("%d requests granted within a second, want at most %g", granted, most)
+		}
+	})
+}
--- a/sardinegate/watch/copies_test.go
+++ b/sardinegate/watch/copies_test.go
@@ -165,6 +165,7 @@
 }
 
 func (siteNode) AddAddress(netip.Addr) {}
+func (siteNode) AddressesKnown()       {}
 
 func (n siteNode) SendHeartbeat() { n.site.hosts[n.self].tellPositions() }
 
--- a/sardinegate/watch/follow.go
+++ b/sardinegate/watch/follow.go
@@ -183,4 +183,5 @@
 		w.deps.Node.AddAddress(ip)
 	}
 	w.deps.Node.SendHeartbeat()
+	w.deps.Node.AddressesKnown()
 }
--- a/sardinegate/watch/model_test.go
+++ b/sardinegate/watch/model_test.go
@@ -119,6 +119,7 @@
 
 func (busNode) AddAddress(netip.Addr) {}
 func (busNode) SendHeartbeat()        {}
+func (busNode) AddressesKnown()       {}
 
 func hostNames(n int) []string {
 	names := make([]string, n)
--- a/sardinegate/watch/watch.go
+++ b/sardinegate/watch/watch.go
@@ -26,8 +26,10 @@
 	// Send sends a message to a host and reports whether the host is known. It may be lost.
 	Send(host string, m *mesh.Message) bool
 	// AddAddress adds the address of a host that may be alive, and SendHeartbeat sends a heartbeat to all known addresses.
+	// AddressesKnown tells the node that these are the addresses of all hosts.
 	AddAddress(addr netip.Addr)
 	SendHeartbeat()
+	AddressesKnown()
 }
 
 // Deps holds the dependencies of a watcher.
