fleet: Keep lapsed entries by the end of the outage that other hosts saw as well

Found while reading the mend of lapses: a span tells since when its sender knows of reads without a gap. After an outage that is since the first read after it, by a message's delay earlier or later than the receiver knows it. The receiver took any earlier time for a proof that there was no outage, and dropped all upstreams that had lapsed: callers would have been refused until these were listed again, up to 2 s. A host that copied its first list dropped them as well, as a copy did not say that there had been an outage. And entries that lapsed 0.9 s after the outage were dropped before the list showed them again.

Change: a series of reads keeps when the outage before it began, and only reads from then on disprove it. A first copy takes over the other host's judgement. What reads find removed after an outage stays until the first read that was sent 2 s after it or later, by when live upstreams are listed again. From that read on a removal takes effect at once, so that an upstream that leaves 3 s after the outage, from when the confirmation of the store counts, is never kept.

TestSeriesOfReads ("ended earlier") and TestLapsedEntriesLapseInACopy state the faults without a network, for one verdict on every run. The tests of the fixed grace state the new end of it: TestLapsedEntriesAreKeptUntilListedAgain, TestEntriesLapseSoonAfterAnOutage.

--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -72,11 +72,6 @@
 	Lapsed bool `cbor:"3,keyasint,omitempty"`
 }
 
-// LapseGrace is how long an entry stays usable that was removed around an outage of the store. Live upstreams are listed again
-// within about two seconds. A leaving one serves on for two seconds, and a request that was sent to it before takes a moment to
-// arrive.
-const LapseGrace = 1900 * time.Millisecond
-
 // View is an immutable snapshot of everything that routing depends on.
 type View struct {
 	// Routes is the configuration in force, nil until one is known.
--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -51,49 +51,65 @@
 const outageEnd = OutageGap + time.Second
 
 // Guards against an outage of the store that empties the list, and against upstreams that stay listed although they are
-// gone. Entries that lapse are kept for LapseGrace, unless they are listed again.
-func TestLapsedEntriesAreKeptForLapseGrace(t *testing.T) {
-	l := NewList()
-	l.Apply(0, ReadAt(0), 0, 1, []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}, {ID: "b", Upstream: newEntry("b", 1, 1)}})
-	l.Apply(outageEnd, ReadAt(outageEnd), 1, 2, []Change{{ID: "a"}, {ID: "b"}})
-	assertListed(t, l, "a", true)
-	listedAt := outageEnd + time.Second
-	l.Apply(listedAt, ReadAt(listedAt), 2, 3, []Change{{ID: "a", Upstream: newEntry("a", 1, 2)}})
-	if l.Expire(outageEnd + LapseGrace - 1) {
-		t.Fatal("an entry expired before LapseGrace")
-	}
-	if !l.Expire(outageEnd + LapseGrace) {
-		t.Fatal("no entry expired after LapseGrace")
+// gone. Entries that lapse in an outage are kept until live upstreams are listed again.
+func TestLapsedEntriesAreKeptUntilListedAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		read time.Duration // after which one more read is sent, 0 for none
+		gone time.Duration // when the entries that are not listed again are removed
+	}{
+		"read in time": {relistTime, relistTime},
+		"early read":   {relistTime - 1, relistTime + relistReadTime},
+		"no read":      {0, relistTime + relistReadTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewList()
+			l.Apply(0, ReadAt(0), 0, 1, []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}, {ID: "b", Upstream: newEntry("b", 1, 1)}})
+			l.Apply(outageEnd, ReadAt(outageEnd), 1, 2, []Change{{ID: "a"}, {ID: "b"}})
+			listedAt := outageEnd + time.Second
+			l.Apply(listedAt, ReadAt(listedAt), 2, 3, []Change{{ID: "a", Upstream: newEntry("a", 1, 2)}})
+			if c.read > 0 {
+				l.Apply(outageEnd+c.read, ReadAt(outageEnd+c.read), 3, 3, nil)
+			}
+			if l.Expire(outageEnd+c.gone-1) != (c.read == relistTime) {
+				t.Fatal("an entry expired before live upstreams were listed again, or none after a read had shown that they were")
+			}
+			l.Expire(outageEnd + c.gone)
+			assertListed(t, l, "a", true)
+			assertListed(t, l, "b", false)
+		})
 	}
-	assertListed(t, l, "a", true)
-	assertListed(t, l, "b", false)
 }
 
 // Guards against the loss of upstreams whose entries lapse just after an outage, before they could renew them, and against
-// entries that are kept for longer than a leaving upstream serves on. A read may find a removal long after it was made.
+// removals that count as lapses for longer.
 func TestEntriesLapseSoonAfterAnOutage(t *testing.T) {
-	l := NewList()
-	l.Apply(0, ReadAt(0), 0, 1, []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}, {ID: "b", Upstream: newEntry("b", 1, 1)}})
-	l.Apply(outageEnd, ReadAt(outageEnd), 1, 1, nil)
-	found := outageEnd + time.Second
-	l.Apply(found, ReadAt(found), 1, 2, []Change{{ID: "a"}})
-	assertListed(t, l, "a", true)
-	l.Expire(outageEnd + LapseGrace)
-	assertListed(t, l, "a", false)
-	for at := found; at < outageEnd+lapseWindow; at += OutageGap / 2 {
-		l.Apply(at, ReadAt(at), 2, 2, nil)
+	for name, c := range map[string]struct {
+		found time.Duration // the time after the outage at which the removal is found
+		kept  bool
+	}{
+		"soon":                      {relistTime - 1, true},
+		"when all are listed again": {relistTime, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewList()
+			l.Apply(0, ReadAt(0), 0, 1, []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}})
+			l.Apply(outageEnd, ReadAt(outageEnd), 1, 1, nil)
+			l.Apply(outageEnd+time.Second, ReadAt(outageEnd+time.Second), 1, 1, nil)
+			found := outageEnd + c.found
+			l.Apply(found, ReadAt(found), 1, 2, []Change{{ID: "a"}})
+			assertListed(t, l, "a", c.kept)
+			l.Apply(outageEnd+relistTime, ReadAt(outageEnd+relistTime), 2, 2, nil)
+			l.Expire(outageEnd + relistTime)
+			assertListed(t, l, "a", false)
+		})
 	}
-	at := outageEnd + lapseWindow + time.Second
-	l.Apply(at, ReadAt(at), 2, 2, nil)
-	l.Apply(at, ReadAt(at), 2, 3, []Change{{ID: "b"}})
-	assertListed(t, l, "b", false)
 }
 
 // Guards against upstreams that are used for longer than they serve on: reads of other hosts show that there was no outage,
 // before or after the removal was found.
 func TestRemovalIsNoLapseIfOtherHostsReadTheStore(t *testing.T) {
 	listed := []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}, {ID: "b", Upstream: newEntry("b", 1, 1)}}
-	others := ReadsBetween(-lapseWindow, outageEnd)
+	others := ReadsBetween(-relistTime, outageEnd)
 	for name, when := range map[string]struct {
 		reads Reads
 		after Reads
@@ -116,17 +132,27 @@
 // Guards against series of reads that hide an outage, or that lose reads which only another host knows of.
 func TestSeriesOfReads(t *testing.T) {
 	const gap = OutageGap
+	ended := func(first time.Duration) Reads {
+		return Reads{First: first, Last: 4 + gap, any: true, afterOutage: true, lostAt: 1}
+	}
+	afterOutage := Reads{First: 2 + gap, Last: 2 + gap, any: true, afterOutage: true, lostAt: 1}
 	for name, test := range map[string]struct{ a, b, want Reads }{
 		"next read":          {ReadAt(1), ReadAt(1 + gap), ReadsBetween(1, 1+gap)},
-		"after an outage":    {ReadAt(1), ReadAt(2 + gap), Reads{First: 2 + gap, Last: 2 + gap, any: true, afterOutage: true}},
-		"from before it":     {ReadAt(2 + gap), ReadAt(1), Reads{First: 2 + gap, Last: 2 + gap, any: true, afterOutage: true}},
+		"after an outage":    {ReadAt(1), ReadAt(2 + gap), afterOutage},
+		"from before it":     {afterOutage, ReadAt(1), afterOutage},
+		"ended earlier":      {ended(4 + gap), ReadsBetween(2+gap, 3+gap), ended(2 + gap)},
+		"no outage":          {ended(4 + gap), ReadsBetween(1+gap, 3+gap), ReadsBetween(1+gap, 4+gap)},
 		"other spans outage": {ReadAt(2 + gap), ReadsBetween(0, 3+gap), ReadsBetween(0, 3+gap)},
 		"none":               {Reads{}, ReadAt(-1), ReadAt(-1)},
 		"no other":           {ReadAt(1), Reads{}, ReadAt(1)},
 	} {
 		t.Run(name, func(t *testing.T) {
-			if got := test.a.With(test.b); got != test.want {
-				t.Fatalf("got %v, want %v", got, test.want)
+			got := test.a.With(test.b)
+			if !got.afterOutage {
+				got.lostAt = 0 // has no meaning
+			}
+			if got != test.want {
+				t.Fatalf("got %+v, want %+v", got, test.want)
 			}
 		})
 	}
@@ -135,7 +161,7 @@
 // Guards against entries that stay listed although a complete list lacks them.
 func TestReplaceRemovesMissingEntries(t *testing.T) {
 	l := NewList()
-	const later = lapseWindow + time.Second // without an outage
+	const later = relistTime + time.Second // without an outage
 	l.Replace(0, ReadAt(0), 3, []Upstream{*newEntry("a", 1, 1), *newEntry("b", 1, 1)})
 	l.Replace(later, ReadsBetween(0, later), 4, []Upstream{*newEntry("a", 1, 1), *newEntry("b", 1, 1)})
 	l.Replace(later, ReadAt(later), 5, []Upstream{*newEntry("b", 1, 2)})
@@ -149,12 +175,15 @@
 	l, c := NewList(), NewList()
 	l.Apply(0, ReadAt(0), 0, 2, []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}, {ID: "b", Upstream: newEntry("b", 1, 1)}})
 	l.Apply(outageEnd, ReadAt(outageEnd), 2, 3, []Change{{ID: "a"}})
-	c.Restore(time.Minute, l.Snapshot(outageEnd+LapseGrace/2))
+	const left = time.Second // until the entry is removed
+	c.Restore(time.Minute, l.Snapshot(l.Reads.keepUntil()-left))
 	assertListed(t, c, "a", true)
 	if c.Offset != 3 || c.Digest() != l.Digest() {
 		t.Fatalf("the copy is at position %d with digest %x, want 3 and %x", c.Offset, c.Digest(), l.Digest())
 	}
-	c.Expire(time.Minute + LapseGrace/2)
+	c.Expire(time.Minute + left - 1)
+	assertListed(t, c, "a", true)
+	c.Expire(time.Minute + left)
 	assertListed(t, c, "a", false)
 	assertListed(t, c, "b", true)
 }
--- a/lib/fleet/list.go
+++ b/lib/fleet/list.go
@@ -15,8 +15,8 @@
 	Reads Reads
 	// entries holds the upstreams in use.
 	entries map[string]Upstream
-	// lapsing holds the entries that may have lapsed, with the time at which the store still held each.
-	lapsing map[string]time.Duration
+	// lapsing holds the IDs of entries that were removed from the store and may have lapsed.
+	lapsing map[string]struct{}
 	// recorded holds the last record of each upstream up to Offset, in the order of the store. An entry in use differs
 	// from it if it has lapsed or if its record came after one with a later report.
 	recorded map[string]Upstream
@@ -26,7 +26,7 @@
 
 // NewList returns an empty list at position 0.
 func NewList() *List {
-	return &List{entries: make(map[string]Upstream), lapsing: make(map[string]time.Duration), recorded: make(map[string]Upstream)}
+	return &List{entries: make(map[string]Upstream), lapsing: make(map[string]struct{}), recorded: make(map[string]Upstream)}
 }
 
 // Digest returns a hash of the last record of each upstream up to Offset. Lists at the same position have the same digest.
@@ -50,11 +50,10 @@
 	if from > l.Offset || to < l.Offset {
 		return false
 	}
-	held := l.Reads.Last
 	l.Reads = l.Reads.With(reads)
 	for _, c := range changes {
 		l.record(c.ID, c.Upstream)
-		l.applyChange(now, held, c)
+		l.applyChange(now, c)
 	}
 	l.Offset = to
 	return true
@@ -63,7 +62,6 @@
 // Replace replaces the list by the entries as of position to, which the last of the given reads found. Entries missing from
 // them are removed, those that may have lapsed later.
 func (l *List) Replace(now time.Duration, reads Reads, to int64, entries []Upstream) {
-	held := l.Reads.Last
 	l.Reads = l.Reads.With(reads)
 	listed := make(map[string]struct{}, len(entries))
 	clear(l.recorded)
@@ -71,19 +69,18 @@
 	for i := range entries {
 		l.record(entries[i].ID, &entries[i])
 		listed[entries[i].ID] = struct{}{}
-		l.applyChange(now, held, Change{ID: entries[i].ID, Upstream: &entries[i]})
+		l.applyChange(now, Change{ID: entries[i].ID, Upstream: &entries[i]})
 	}
 	for id := range l.entries {
 		if _, ok := listed[id]; !ok {
-			l.applyChange(now, held, Change{ID: id})
+			l.applyChange(now, Change{ID: id})
 		}
 	}
 	l.Offset = to
 }
 
-// applyChange applies one change. The store held the previous entry at the time held. It ignores an entry that is older than
-// the listed one.
-func (l *List) applyChange(now, held time.Duration, c Change) {
+// applyChange applies one change. It ignores an entry that is older than the listed one.
+func (l *List) applyChange(now time.Duration, c Change) {
 	if c.Upstream != nil {
 		if old, ok := l.entries[c.ID]; ok && old.newer(c.Upstream) {
 			return
@@ -92,19 +89,18 @@
 		delete(l.lapsing, c.ID)
 		return
 	}
-	if _, ok := l.entries[c.ID]; !ok {
+	if _, ok := l.entries[c.ID]; ok && l.Reads.keepsLapsed(now) {
+		l.lapsing[c.ID] = struct{}{}
 		return
 	}
-	if _, ok := l.lapsing[c.ID]; !ok {
-		l.lapsing[c.ID] = held
-	}
-	l.expireEntry(now, c.ID)
+	delete(l.entries, c.ID)
+	delete(l.lapsing, c.ID)
 }
 
-// Lapses reports whether the removal of an entry that a read sent at the given time finds may be due to an outage of the
+// Lapses reports whether the removal of an entry that a read sent at the given time finds now may be due to an outage of the
 // store.
-func (l *List) Lapses(sent time.Duration) bool {
-	return l.Reads.With(ReadAt(sent)).mayLapse(l.Reads.Last)
+func (l *List) Lapses(now, sent time.Duration) bool {
+	return l.Reads.With(ReadAt(sent)).keepsLapsed(now)
 }
 
 // Lapsing reports whether the entry of an upstream may have lapsed and is still in use.
@@ -113,24 +109,16 @@
 	return ok
 }
 
-// Expire removes the entries that may have lapsed once LapseGrace has passed, or once reads of other hosts have shown that
-// there was no outage. It reports whether there were any.
+// Expire removes the entries that may have lapsed and were not listed again in time, or of which reads of other hosts have shown
+// that there was no outage. It reports whether there were any.
 func (l *List) Expire(now time.Duration) bool {
-	removed := false
-	for id := range l.lapsing {
-		removed = l.expireEntry(now, id) || removed
-	}
-	return removed
-}
-
-// expireEntry removes an entry that may have lapsed if it is time to, and reports whether it was.
-func (l *List) expireEntry(now time.Duration, id string) bool {
-	held := l.lapsing[id]
-	if l.Reads.mayLapse(held) && now < l.Reads.removeLapsed(held) {
+	if len(l.lapsing) == 0 || l.Reads.keepsLapsed(now) {
 		return false
 	}
-	delete(l.entries, id)
-	delete(l.lapsing, id)
+	for id := range l.lapsing {
+		delete(l.entries, id)
+	}
+	clear(l.lapsing)
 	return true
 }
 
@@ -179,10 +167,9 @@
 func (l *List) Snapshot(now time.Duration) Snapshot {
 	s := Snapshot{Offset: l.Offset, Age: now - l.Reads.Last, Recorded: sortedByID(l.recorded)}
 	for _, u := range sortedByID(l.entries) {
-		held, lapsing := l.lapsing[u.ID]
 		switch {
-		case lapsing:
-			s.Kept = append(s.Kept, KeptEntry{u, max(l.Reads.removeLapsed(held)-now, 1)})
+		case l.Lapsing(u.ID):
+			s.Kept = append(s.Kept, KeptEntry{u, max(l.Reads.keepUntil()-now, 1)})
 		case !u.EqualForRouting(l.recorded[u.ID]):
 			s.Kept = append(s.Kept, KeptEntry{Upstream: u})
 		}
@@ -191,17 +178,23 @@
 }
 
 // Restore replaces the list by a snapshot of another host. Entries missing from it are removed, those that may have lapsed
-// later.
+// later. A list that was read or copied before is changed as the reads known to this host show; else the other host's judgement of
+// lapses holds.
 func (l *List) Restore(now time.Duration, s Snapshot) {
+	first := !l.Reads.any
 	l.Replace(now, ReadAt(now-s.Age), s.Offset, s.Recorded)
 	for _, k := range s.Kept {
 		if k.Left == 0 {
-			l.applyChange(now, l.Reads.Last, Change{ID: k.Upstream.ID, Upstream: &k.Upstream})
+			l.applyChange(now, Change{ID: k.Upstream.ID, Upstream: &k.Upstream})
+			continue
+		}
+		if _, listed := l.entries[k.Upstream.ID]; listed {
 			continue
 		}
-		if _, listed := l.entries[k.Upstream.ID]; !listed {
-			l.entries[k.Upstream.ID] = k.Upstream
-			l.lapsing[k.Upstream.ID] = now + k.Left - LapseGrace
+		if first {
+			l.Reads = l.Reads.withOutageUntil(now + k.Left - relistTime - relistReadTime)
 		}
+		l.entries[k.Upstream.ID] = k.Upstream
+		l.lapsing[k.Upstream.ID] = struct{}{}
 	}
 }
--- a/sardinegate/watch/list.go
+++ b/sardinegate/watch/list.go
@@ -150,7 +150,7 @@
 // w.mu must be held.
 func (w *Watcher) decodeChange(asOf time.Duration, r fleet.Record) fleet.Change {
 	if len(r.Value) == 0 {
-		return fleet.Change{ID: r.Key, Lapsed: w.list.Lapses(asOf)}
+		return fleet.Change{ID: r.Key, Lapsed: w.list.Lapses(w.now(), asOf)}
 	}
 	u, err := w.deps.Source.DecodeUpstream(r)
 	if err != nil {
--- a/sardinegate/watch/outage_test.go
+++ b/sardinegate/watch/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"sync/atomic"
@@ -102,10 +103,11 @@
 // Guards against the loss of all upstreams when their entries lapse during an outage of the store for all hosts, or soon after it. Some
 // calls end only after the outage, and hosts read the store again at different times.
 func TestEntriesThatLapseInAnOutageStayUsable(t *testing.T) {
-	for name, lapseAfter := range map[string]time.Duration{"during the outage": -time.Second, "after it": 900 * time.Millisecond} {
-		t.Run(name, func(t *testing.T) {
+	for seed := range uint64(20) {
+		lapseAfter := []time.Duration{-time.Second, 900 * time.Millisecond}[seed%2]
+		t.Run(fmt.Sprintf("%v after its end, seed %d", lapseAfter, seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				b := &bus{rnd: rand.New(rand.NewPCG(1, 1))}
+				b := &bus{maxDelay: 50 * time.Millisecond, rnd: rand.New(rand.NewPCG(seed, 1))}
 				s := newMemorySource()
 				cuts := startCuttableHosts(t, b, s, readTimeout)
 				for _, cut := range cuts {
--- a/sardinegate/watch/watch_test.go
+++ b/sardinegate/watch/watch_test.go
@@ -186,7 +186,7 @@
 }
 
 // Guards against the loss of all upstreams after an outage of the store: they cannot renew their entries meanwhile, so
-// the first read afterwards finds them removed. They must stay usable until LapseGrace has passed. The outage lasts for
+// the first read afterwards finds them removed. They must stay usable until live upstreams are listed again. The outage lasts for
 // longer than OutageGap; a shorter one lets no entry lapse.
 func TestUpstreamsSurviveLapseDuringOutage(t *testing.T) {
 	s := newMemorySource()
@@ -207,7 +207,7 @@
 		t.Fatalf("%d upstreams right after the outage, want 2", n)
 	}
 	s.put(fleet.Upstreams, "a", upstream("a"))
-	eventually(t, "the end of LapseGrace", func() bool { return len(w.View().Upstreams) == 1 })
+	eventually(t, "the removal of the other upstream", func() bool { return len(w.View().Upstreams) == 1 })
 	if _, ok := w.View().Upstreams["a"]; !ok {
 		t.Fatal("upstream a is missing, although it was listed again")
 	}
