watch: Log an outage only when one is known or disproved

The line "store was available to other hosts" came with each message that showed reads some milliseconds earlier, so that it said nothing. It is written now when it changes what the host believes, that is when an outage turns out to be none.

--- a/lib/fleet/reads.go
+++ b/lib/fleet/reads.go
@@ -60,6 +60,9 @@
 	return r
 }
 
+// AfterOutage reports whether an outage of the store is known that ended with the first read of the series.
+func (r Reads) AfterOutage() bool { return r.afterOutage }
+
 // keepUntil returns until when entries that may have lapsed are kept at most.
 func (r Reads) keepUntil() time.Duration { return r.First + relistTime + relistReadTime }
 
--- a/sardinegate/watch/outage.go
+++ b/sardinegate/watch/outage.go
@@ -10,8 +10,8 @@
 // logOutage logs an outage of the store that ended with the present series of reads. before is the series known before. w.mu
 // must be held.
 func (w *Watcher) logOutage(before fleet.Reads) {
-	if gap := w.list.Reads.First - before.Last; gap > fleet.OutageGap {
-		w.deps.Log.Info("store was unavailable to all known hosts", "forMs", gap.Milliseconds())
+	if now := w.list.Reads; now.AfterOutage() && now.First > before.Last {
+		w.deps.Log.Info("store was unavailable to all known hosts", "forMs", (now.First - before.Last).Milliseconds())
 	}
 }
 
@@ -25,8 +25,10 @@
 	case both.First < known.First:
 		both.Last = known.Last // the position is not known to be confirmed by later reads
 		w.list.Reads = both
-		w.deps.Log.Info("store was available to other hosts", "host", host, "forMs", (both.Last - both.First).Milliseconds())
-		w.expireLapsed()
+		if known.AfterOutage() && !both.AfterOutage() {
+			w.deps.Log.Info("store was available to other hosts", "host", host, "forMs", (both.Last - both.First).Milliseconds())
+			w.expireLapsed()
+		}
 	case known.First+fleet.OutageGap < reads.First && both.First == known.First && w.tellsReads(host):
 		w.deps.Node.Send(host, &mesh.Message{ListChanges: w.listSpan(known.Last, w.list.Offset, w.list.Offset, nil)})
 	}
