mesh, quota: Make a host that starts beside others no owner before it has joined

Cause: a host that was ready said so at once, and others took it for the owner of services and organisations while it was joining, so that it granted nothing as an owner yet. Requests for allowances waited 25 ms for it and went to deputies for 0.4 s. It also noticed the end of its joining up to 0.1 s late.

Change: a host tells that it is ready when it has joined, 100 ms after it has sent a heartbeat to all, and until then it is no owner at itself either, if others are ready. An owner of allowances takes the phase into account with the next request.

Shown failing without the guard: TestHostThatStartsBesideOthersIsNoOwnerWhileItJoins, "99ms after its start, the host owns tasks: true, want false".

--- a/sardinegate/gate.go
+++ b/sardinegate/gate.go
@@ -184,7 +184,7 @@
 	operators, list := g.watcher.Positions()
 	return mesh.Heartbeat{
 		Leaving:           g.stop.Begun(),
-		Ready:             g.Ready(),
+		Ready:             g.readyForTasks(),
 		OperatorsPosition: operators,
 		ListPosition:      list,
 		ColdUpstreams:     g.broker.Cold(),
--- a/sardinegate/listen.go
+++ b/sardinegate/listen.go
@@ -15,6 +15,7 @@
 	"sardinecross.example/platform"
 	"sardinecross.example/sardinegate/entry"
 	"sardinecross.example/sardinegate/front"
+	"sardinecross.example/sardinegate/mesh"
 	"sardinecross.example/sardinegate/stats"
 )
 
@@ -122,9 +123,12 @@
 	return completeAt > 0 && (g.node.Joined() || time.Since(g.start) > completeAt+joinTimeout)
 }
 
+// readyForTasks reports whether the host is ready and has heard the others, so that it may do tasks for all hosts.
+func (g *gate) readyForTasks() bool { return g.Ready() && g.node.Phase() != mesh.Joining }
+
 // announceReady tells the other hosts that this one is ready as soon as it is, so that they agree on the owners of services.
 func (g *gate) announceReady() {
-	for !g.mayServe() {
+	for !g.readyForTasks() {
 		if g.stop.Begun() {
 			return
 		}
--- a/sardinegate/mesh/message.go
+++ b/sardinegate/mesh/message.go
@@ -116,7 +116,8 @@
 	// CallerAddress is the address at which the host accepts callers.
 	CallerAddress string `cbor:"2,keyasint"`
 	Leaving       bool   `cbor:"3,keyasint,omitempty"`
-	Ready         bool   `cbor:"4,keyasint,omitempty"`
+	// Ready is set once the host serves callers and, after its start, has heard the other hosts, so that it may own services.
+	Ready bool `cbor:"4,keyasint,omitempty"`
 	// OperatorsPosition and ListPosition are the positions up to which the sender knows the operators' records and the
 	// list of upstreams.
 	OperatorsPosition int64 `cbor:"5,keyasint,omitempty"`
--- a/sardinegate/mesh/rank.go
+++ b/sardinegate/mesh/rank.go
@@ -20,10 +20,16 @@
 
 // RankHosts returns the hosts that may do a task for all hosts, such as to own a service, the preferred one first. Hosts with
 // at least half of the largest capacity go before the others, each group in the order of rendezvous hashing, so that tasks
-// are spread and a small host does none while there is a larger one. The list includes this host unless leaving is set.
-// Hosts that agree on which hosts are alive, ready and leaving return the same list.
+// are spread and a small host does none while there is a larger one. The list includes this host unless leaving is set, or it is
+// joining and others are ready. Hosts that agree on which hosts are alive, ready and leaving return the same list.
 func (n *Node) RankHosts(task string, leaving bool) []string {
-	return n.rankMembers(task, leaving, func(m *Member) bool { return m.Ready })
+	ready := func(m *Member) bool { return m.Ready }
+	if n.Phase() == Joining {
+		if others := n.rankMembers(task, true, ready); len(others) > 0 {
+			return others
+		}
+	}
+	return n.rankMembers(task, leaving, ready)
 }
 
 // rankMembers ranks the live members for which mayAct returns true, and this host unless leaving is set. mayAct is called with n.mu
--- a/sardinegate/quota/handle.go
+++ b/sardinegate/quota/handle.go
@@ -41,6 +41,9 @@
 // handleRequest decides for another host. It does not answer if this host is neither the owner nor a deputy, or does not know the
 // organisation: the other host asks the next one.
 func (q *Quota) handleRequest(m *mesh.Message, r *mesh.AllowanceRequest) {
+	if q.phaseChanged() {
+		q.Update() // the other hosts may know already that this one is an owner
+	}
 	q.mu.Lock()
 	now, table := q.deps.Now(), q.table
 	q.state.Told(now, r.Hosts)
@@ -76,6 +79,14 @@
 	q.deps.Node.Send(m.From, &mesh.Message{AllowanceReply: &reply})
 }
 
+// phaseChanged reports whether the phase of this host has changed since the orders of owners were computed.
+func (q *Quota) phaseChanged() bool {
+	phase := q.deps.Node.Phase()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return phase != q.phase
+}
+
 // handleReply passes an answer to the request that waits for it. If none waits any more, a unit that was granted is returned.
 func (q *Quota) handleReply(from string, r *mesh.AllowanceReply) {
 	q.mu.Lock()
--- a/sardinegate/quota/quota.go
+++ b/sardinegate/quota/quota.go
@@ -293,7 +293,7 @@
 // change of the limit changes the buckets. Its order is up to date then. The levels have to be handed over. q.mu must be held.
 func (q *Quota) current(now time.Duration, o *orgs.Organisation) (*orgs.Organisation, map[string][]mesh.AllowanceLevel) {
 	transfers := make(map[string][]mesh.AllowanceLevel)
-	if q.deps.Organisations() != q.table {
+	if q.deps.Organisations() != q.table || q.deps.Node.Phase() != q.phase {
 		transfers = q.update(now)
 	}
 	if q.table != nil {
