grant, broker: Leave rollouts to each owner while hosts start together

Nothing of them is granted by all hosts together: states are written under a condition, and each owner sends a share of its own requests to the canary.

--- a/lib/grant/version.go
+++ b/lib/grant/version.go
@@ -27,7 +27,7 @@
 		return versionChoice{}
 	}
 	stage, _ := r.Stage()
-	c := versionChoice{limited: true, target: r.Choose(now, svc.ownerless(req)) == canary.TargetOnly, version: r.Order.Version}
+	c := versionChoice{limited: true, target: r.Choose(now, req.WithoutOwner) == canary.TargetOnly, version: r.Order.Version}
 	switch {
 	case stage == canary.Waiting && svc.onlyTarget(c.version), stage >= canary.Moved && stage != canary.RolledBack && !svc.lists(c.version):
 		// The order names the version that runs already, or the upstreams of the target version are gone.
--- a/sardinegate/broker/rollout.go
+++ b/sardinegate/broker/rollout.go
@@ -130,7 +130,7 @@
 	}
 	owned := int64(0)
 	for service, r := range b.rollouts {
-		r.owned = b.owner(now, service) == b.deps.Host && !b.ownerOrders[service].disputed && !b.deps.Leaving()
+		r.owned = b.owner(now, service) == b.deps.Host && !b.deps.Leaving()
 		r.SetOwner(r.owned)
 		if !r.owned {
 			continue
