mesh: Let the hosts join in TestDiscoveryLeavingAndLossOfHosts

The two hosts of the test never got the addresses, so that each left itself to the other. They get them now, as a host does from the store, and are compared once they have joined; the assertions are as they were.

--- a/sardinegate/mesh/mesh_test.go
+++ b/sardinegate/mesh/mesh_test.go
@@ -62,7 +62,10 @@
 	b := startNode(t, "b", "127.0.0.2", p, 1, func() Heartbeat { return Heartbeat{Ready: true, Leaving: leaving.Load()} }, ignore)
 	b.AddAddress(netip.MustParseAddr("127.0.0.1"))
 	b.SendHeartbeat()
+	a.AddressesKnown()
+	b.AddressesKnown()
 	eventually(t, "the hosts to discover each other", func() bool { return len(a.Alive()) == 1 && len(b.Alive()) == 1 })
+	eventually(t, "the hosts to have joined", func() bool { return a.Phase() != Joining && b.Phase() != Joining })
 	if x, y := a.RankHosts("s", false), b.RankHosts("s", false); len(x) != 2 || x[0] != y[0] {
 		t.Fatalf("ranks of owners are %v at host a and %v at host b, want two hosts in the same order", x, y)
 	}
