fleet: Assert that lapsed entries are listed right after an outage

TestLapsedEntriesAreKeptUntilListedAgain replaced a test that asserted this at once; of its three parts only one would have noticed a list that drops the entries when it reads their removal. All three assert it now; they pass.

--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -65,6 +65,8 @@
 			l := NewList()
 			l.Apply(0, ReadAt(0), 0, 1, []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}, {ID: "b", Upstream: newEntry("b", 1, 1)}})
 			l.Apply(outageEnd, ReadAt(outageEnd), 1, 2, []Change{{ID: "a"}, {ID: "b"}})
+			assertListed(t, l, "a", true)
+			assertListed(t, l, "b", true)
 			listedAt := outageEnd + time.Second
 			l.Apply(listedAt, ReadAt(listedAt), 2, 3, []Change{{ID: "a", Upstream: newEntry("a", 1, 2)}})
 			if c.read > 0 {
