pool: Take the end of a connection for the end of a response only if its upstream sent it

An upstream answered a long upload at once, without a length, and reset the connection while the upload was still being written. Callers got what had come of the body as a complete answer with status 200.

Cause: the kernel reports a reset once for each socket. The goroutine that wrote the upload received the report, and the read of the response then got the end of the stream, as after an orderly close. Evidence: a raw upstream that resets so 200 times: the read ended with EOF 101 times, and each time the write had failed with ECONNRESET. An upstream that ends its side first and resets later gave EOF and EPIPE 200 times of 200, so the two errors of the write tell which end came first.

Change: lib/common/stream is a connection that records the failure of a write. At the end of the stream, Read ends the write in progress, so that its result is known, and returns a ResetError if it was a failure. It does not wait for the caller's body, so that an early answer that ends in order is still passed on at once. All reads of the pool go through it: buffered and streamed bodies, heads, trailers, probes. The exchange ends as others without a complete response: 502 or a cut connection, a retry only for what may repeat, and the upstream has failed.

--- a/sardinegate/pool/conn.go
+++ b/sardinegate/pool/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"sardinecross.example/lib/common/limit"
+	"sardinecross.example/lib/common/stream"
 )
 
 const (
@@ -42,7 +43,7 @@
 // conn is a connection to an upstream. A goroutine reads from it also while it is idle, so that bytes which belong to no
 // request are noticed and close it at once.
 type conn struct {
-	nc        net.Conn
+	nc        *stream.Conn
 	headLimit *limit.Reader
 	br        *bufio.Reader
 	results   chan readResult
@@ -64,7 +65,7 @@
 	onClose   func()
 }
 
-func newConn(nc net.Conn, onClose func()) *conn {
+func newConn(nc *stream.Conn, onClose func()) *conn {
 	headLimit := &limit.Reader{R: nc, Remaining: limit.Unlimited}
 	c := &conn{
 		nc:        nc,
--- a/sardinegate/pool/pool.go
+++ b/sardinegate/pool/pool.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"sardinecross.example/lib/common/limit"
+	"sardinecross.example/lib/common/stream"
 )
 
 const (
@@ -208,7 +209,7 @@
 		return nil, &ConnectError{address, err}
 	}
 	var c *conn
-	c = newConn(nc, func() {
+	c = newConn(stream.NewConn(nc), func() {
 		p.memory.Release(c.held)
 		p.mu.Lock()
 		delete(p.conns, c)
