heads, pool: Reject responses with an invalid field name

An upstream in trouble sent a head in which the name of a field held a blank. Callers got it as an answer: with "Content-Length : 2" the body went on to the end of the connection, with "Transfer-Encoding : chunked" the chunk lines were the body, and with any other name the response was taken as it was.

Cause: net/http accepts blanks in names and holds such a field under another name, so that a field which frames the body is not seen. Control bytes, tabs, empty names and bytes above 0x7f are errors there already; their test passed before and stays.

The pool checks every response that it reads, also interim ones and those of earlier requests, before its ID, its notices or its load report are read.

--- a/proofs/broken_test.go
+++ b/proofs/broken_test.go
@@ -177,3 +177,34 @@
 	s.setFault(server.NoFault, 0)
 	s.assertServedAgain(h)
 }
+
+// Guards against a response with an invalid head that reaches the caller, whole or as one of another length, and against an order that
+// is sent again, or said not to have run, on the word of such a head.
+func TestGateBrokenHeadIsNoAnswer(t *testing.T) {
+	const (
+		requests   = 16 // of each kind
+		bodyLength = 20
+	)
+	for fault, cause := range map[server.Fault]string{
+		server.BlankInName: "invalid field name", server.BlankInLength: "invalid field name", server.BlankInChunked: "invalid field name",
+		server.ControlInName: "malformed MIME header",
+	} {
+		t.Run(string(fault), func(t *testing.T) {
+			t.Parallel()
+			s := newGateSiteWith(t, 1, 2)
+			h := s.hosts[0]
+			s.setFault(fault, 0)
+			var calls []*brokenCall
+			for i := range 2 * requests {
+				c := s.newBrokenCall(i%2 == 0)
+				c.bodyLength = bodyLength
+				c.send(t, h)
+				calls = append(calls, c)
+			}
+			s.assertNotAnswered(t, calls)
+			s.assertLogged(t, h, calls, cause)
+			s.setFault(server.NoFault, 0)
+			s.assertServedAgain(h)
+		})
+	}
+}
--- a/sardinegate/pool/conn.go
+++ b/sardinegate/pool/conn.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"sardinecross.example/lib/common/heads"
 	"sardinecross.example/lib/common/limit"
 	"sardinecross.example/lib/common/stream"
 )
@@ -151,6 +152,9 @@
 			resp, err = http.ReadResponse(c.br, req) //nolint:bodyclose // closing the connection ends the body
 			c.headLimit.Remaining = limit.Unlimited
 		}
+		if err == nil {
+			err = heads.Check(resp)
+		}
 		c.results <- readResult{resp, err}
 		if err != nil {
 			return
