heads, pool: Reject responses with a status below 100

An upstream in trouble sent an answer with status 000. A host took it for an interim response, as it does any status below 200, and what followed on the connection for the answer; with nothing behind it, the exchange ended with EOF.

Cause: net/http reads any three digits as a status, and the pool compared it with 200 only.

Change: heads.Check returns a StatusError for a status below 100. Statuses from 600 on are not defined by HTTP either; RFC 9110 has them treated as those of a failure, as is done already, and upstreams' statuses are returned unchanged, so that they stay as they are.

--- a/lib/common/heads/heads.go
+++ b/lib/common/heads/heads.go
@@ -11,6 +11,15 @@
 	"golang.org/x/net/http/httpguts"
 )
 
+// minStatus is the lowest status that HTTP defines. Higher ones than it defines count as those of failures.
+const minStatus = 100
+
+// StatusError reports a response with a status below 100.
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("invalid response status %03d", e.Status) }
+
 // FieldNameError reports a field name in a head or trailer that is not valid. Such a field may have been meant to say where the
 // response ends.
 type FieldNameError struct{ Name string }
@@ -23,6 +32,9 @@
 // Check returns an error if the head of a response is not valid. Nothing in the response can be relied on then, its end included.
 // Otherwise it makes the body of the response fail at its end if the trailer is not valid.
 func Check(resp *http.Response) error {
+	if resp.StatusCode < minStatus {
+		return &StatusError{resp.StatusCode}
+	}
 	if err := checkNames(resp.Header); err != nil {
 		return err
 	}
--- a/lib/common/heads/heads_test.go
+++ b/lib/common/heads/heads_test.go
@@ -58,3 +58,13 @@
 	assertInvalidName(t, "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nab", "Content-Length ")
 	assertInvalidName(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nA B: c\r\n\r\n", "A B")
 }
+
+// Guards against a status that HTTP does not define being taken for that of an interim response, and for one that says anything.
+func TestInvalidStatuses(t *testing.T) {
+	for _, status := range []string{"000", "001", "099"} {
+		var invalid *StatusError
+		if err := read(t, "HTTP/1.1 "+status+" \r\nContent-Length: 0\r\n\r\n"); !errors.As(err, &invalid) {
+			t.Errorf("got error %v, want a StatusError for status %s", err, status)
+		}
+	}
+}
--- a/proofs/broken_test.go
+++ b/proofs/broken_test.go
@@ -187,7 +187,7 @@
 	)
 	for fault, cause := range map[server.Fault]string{
 		server.BlankInName: "invalid field name", server.BlankInLength: "invalid field name", server.BlankInChunked: "invalid field name",
-		server.ControlInName: "malformed MIME header",
+		server.ControlInName: "malformed MIME header", server.ZeroStatus: "invalid response status 000",
 	} {
 		t.Run(string(fault), func(t *testing.T) {
 			t.Parallel()
--- a/sardinegate/pool/broken_test.go
+++ b/sardinegate/pool/broken_test.go
@@ -63,6 +63,31 @@
 	}
 }
 
+// Guards against a response with a status that HTTP does not define: it is skipped like an interim one, and what follows on the
+// connection is taken for the response.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
+	const fields = "Id: 1\r\nContent-Length: 2\r\n\r\nab"
+	for _, status := range []string{"000", "001", "099"} {
+		for name, next := range map[string]string{"alone": "", "before a response": "HTTP/1.1 200 OK\r\n" + fields} {
+			t.Run(status+" "+name, func(t *testing.T) {
+				var invalid *heads.StatusError
+				if err := assertBroken(t, "HTTP/1.1 "+status+" \r\nId: 1\r\n\r\n"+next); !errors.As(err, &invalid) {
+					t.Errorf("got error %v, want a StatusError", err)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a status line that the library of net/http rejects already, should it change.
+func TestMalformedStatusIsNoResponse(t *testing.T) {
+	for _, status := range []string{"", "2", "20", "+20", "-20", "2000", "2x0", "0x1"} {
+		t.Run(status, func(t *testing.T) {
+			_ = assertBroken(t, "HTTP/1.1 "+status+" OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nab")
+		})
+	}
+}
+
 // Guards against field names with bytes that the library of net/http rejects already, should it change.
 func TestControlByteInAFieldIsNoResponse(t *testing.T) {
 	for name, field := range map[string]string{
