httpc, heads, stream: Reject cut and broken responses of the store, the host list and hosts

Change: it dials with stream.DialContext, and its transport is a heads.Transport, which fails on a broken response and closes its connection.

--- a/lib/common/httpc/httpc.go
+++ b/lib/common/httpc/httpc.go
@@ -9,6 +9,9 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"sardinecross.example/lib/common/heads"
+	"sardinecross.example/lib/common/stream"
 )
 
 const (
@@ -46,7 +49,7 @@
 
 // Client sends HTTP requests to one service. It is safe for concurrent use.
 type Client struct {
-	transport *http.Transport
+	transport heads.Transport
 	ctx       context.Context
 	cancel    context.CancelFunc
 
@@ -63,13 +66,13 @@
 	return &Client{
 		ctx:    ctx,
 		cancel: cancel,
-		transport: &http.Transport{
-			DialContext:            dialer().DialContext,
+		transport: heads.Transport{Transport: &http.Transport{
+			DialContext:            stream.DialContext(dialer()),
 			MaxConnsPerHost:        maxConns,
 			MaxResponseHeaderBytes: maxHeadBytes,
 			IdleConnTimeout:        idleConnTimeout,
 			DisableCompression:     true,
-		},
+		}},
 	}
 }
 
@@ -111,7 +114,8 @@
 }
 
 // Do sends a request and returns the body of the response. It fails with *StatusError if the status is not 200 and with
-// *SizeError if the body is longer than limit bytes. The request's context must come from Begin.
+// *SizeError if the body is longer than limit bytes. A response that is cut, or whose head is not valid, is another error: it says
+// nothing about the request. The request's context must come from Begin.
 func (c *Client) Do(req *http.Request, limit int64) ([]byte, error) {
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
--- a/lib/common/httpc/httpc_test.go
+++ b/lib/common/httpc/httpc_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -86,3 +89,90 @@
 		})
 	}
 }
+
+// startServer starts a server that reads the head of the request on each connection and then runs answer. It returns its address.
+func startServer(t *testing.T, answer func(nc *net.TCPConn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() {
+				defer nc.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
+					answer(nc.(*net.TCPConn))
+				}
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		wg.Wait()
+	})
+	return l.Addr().String()
+}
+
+// post sends a request with a body of the given length to addr and returns the body of the response.
+func post(t *testing.T, addr string, length int) ([]byte, error) {
+	t.Helper()
+	client := New(0)
+	defer client.Close()
+	ctx, done, err := client.Begin(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer done()
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr, bytes.NewReader(make([]byte, length)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return client.Do(req, 1<<20)
+}
+
+// Guards against a shorter body than the server's that is taken for whole, because the connection was reset while the request was
+// being written.
+func TestResetDuringRequestIsNoEndOfTheResponse(t *testing.T) {
+	const tries = 100
+	for i := range tries {
+		addr := startServer(t, func(nc *net.TCPConn) {
+			_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\n\r\npart")
+			time.Sleep(time.Duration(i%10) * time.Millisecond)
+			_ = nc.SetLinger(0)
+		})
+		if body, err := post(t, addr, 32<<20); err == nil {
+			t.Errorf("response that was reset is taken for whole, with body %q", body)
+		}
+	}
+}
+
+// Guards against a response whose head or trailer is not valid being used: its body may be another one than the server's, and its status
+// may say wrongly that nothing was done.
+func TestBrokenHeadIsNoResponse(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for name, text := range map[string]string{
+		"blank in a name":               ok + "A B: c\r\nContent-Length: 2\r\n\r\nab",
+		"blank after Content-Length":    ok + "Content-Length : 2\r\n\r\nabcdef",
+		"blank after Transfer-Encoding": ok + "Transfer-Encoding : chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+		"blank in a trailer":            ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nA B: c\r\n\r\n",
+		"blank in an interim name":      "HTTP/1.1 103 Early Hints\r\nA B: c\r\n\r\n" + ok + "Content-Length: 2\r\n\r\nab",
+		"blank in a name of a refusal":  "HTTP/1.1 503 Service Unavailable\r\nA B: c\r\nContent-Length: 0\r\n\r\n",
+		"status 000":                    "HTTP/1.1 000 \r\nContent-Length: 2\r\n\r\nab",
+	} {
+		t.Run(name, func(t *testing.T) {
+			body, err := post(t, startServer(t, func(nc *net.TCPConn) { _, _ = io.WriteString(nc, text) }), 1)
+			var status *StatusError
+			if err == nil || errors.As(err, &status) {
+				t.Errorf("got body %q, error %v, want an error of the response", body, err)
+			}
+		})
+	}
+}
--- a/lib/common/stream/stream.go
+++ b/lib/common/stream/stream.go
@@ -2,6 +2,7 @@
 package stream
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -39,6 +40,17 @@
 // NewConn returns a Conn that takes over nc. All reads and writes must go through it.
 func NewConn(nc net.Conn) *Conn { return &Conn{Conn: nc} }
 
+// DialContext returns the DialContext function of an http.Transport that dials with d and returns a Conn.
+func DialContext(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		nc, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(nc), nil
+	}
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
