--- a/sardinectl/explain.go
+++ b/sardinectl/explain.go
@@ -17,6 +17,7 @@
 	"strings"
 	"text/tabwriter"
 
+	"sardinecross.example/lib/common/heads"
 	"sardinecross.example/lib/explain"
 )
 
@@ -116,7 +117,7 @@
 		req.Header.Set(explain.KeyHeader, key)
 	}
 	client := &http.Client{
-		Transport: &http.Transport{DisableKeepAlives: true},
+		Transport: heads.Transport{Transport: &http.Transport{DisableKeepAlives: true}},
 		// The key must not go to another address.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/sardinectl/explain_test.go
+++ b/sardinectl/explain_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
@@ -91,3 +92,20 @@
 	}
 	host.Close()
 }
+
+// Guards against an explanation in a response with an invalid head, whose end and content cannot be relied on.
+func TestExplainRejectsBrokenHeads(t *testing.T) {
+	host := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		nc, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer nc.Close()
+		io.WriteString(nc, "HTTP/1.1 200 OK\r\nA B: c\r\nContent-Length: 2\r\n\r\n{}")
+	}))
+	defer host.Close()
+	code, text := runExplain(t, "-address", host.Listener.Addr().String(), "-host", "a.example", "-path", "/x")
+	if code == prog.ExitOK || !strings.Contains(text, "invalid field name") {
+		t.Errorf("exit code %d with\n%s\nwant an error that names the field", code, text)
+	}
+}
--- a/sardinectl/hosts.go
+++ b/sardinectl/hosts.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"sardinecross.example/lib/common/heads"
 )
 
 const (
@@ -39,7 +41,7 @@
 
 // readHostStatuses requests the status of all hosts concurrently and returns the statuses in the order of the addresses.
 func readHostStatuses(ctx context.Context, addresses []netip.AddrPort) []hostStatus {
-	client := &http.Client{Timeout: statusTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Timeout: statusTimeout, Transport: heads.Transport{Transport: &http.Transport{DisableKeepAlives: true}}}
 	list := make([]hostStatus, len(addresses))
 	var wg sync.WaitGroup
 	for i, a := range addresses {
--- a/sardineload/caller/caller_test.go
+++ b/sardineload/caller/caller_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"hash/crc32"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -76,6 +77,13 @@
 		panic(http.ErrAbortHandler)
 	case "close":
 		panic(http.ErrAbortHandler)
+	case "brokenRefusal":
+		nc, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		io.WriteString(nc, "HTTP/1.1 503 no\r\nX-Run: no\r\nA B: c\r\nContent-Length: 0\r\n\r\n")
+		nc.Close()
 	case "malformed":
 		w.Header().Set("X-Run", "no")
 		w.WriteHeader(400)
@@ -116,6 +124,7 @@
 		"neither, not run":              {plan.KindNeither, []string{"no", "serve"}, tally.Served, "- -"},
 		"neither, connection closed":    {plan.KindNeither, []string{"close", "serve"}, tally.Unknown, "-"},
 		"neither, cut answer":           {plan.KindNeither, []string{"cut", "serve"}, tally.Unknown, "-"},
+		"neither, broken refusal":       {plan.KindNeither, []string{"brokenRefusal", "serve"}, tally.Unknown, "-"},
 		"neither, unknown":              {plan.KindNeither, []string{"unknown", "serve"}, tally.Unknown, "-"},
 		"issued, new ID after not run":  {plan.KindIssued, []string{"no", "serve"}, tally.Served, "id1 id2"},
 		"issued, same ID after unknown": {plan.KindIssued, []string{"close", "unknown", "serve"}, tally.Served, "id1 id1 id1"},
--- a/sardineload/caller/client.go
+++ b/sardineload/caller/client.go
@@ -9,6 +9,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"sardinecross.example/lib/common/heads"
 )
 
 const (
@@ -39,7 +41,7 @@
 type Client struct {
 	opt       Options
 	index     int
-	transport *http.Transport
+	transport heads.Transport
 	ctx       context.Context
 	cancel    context.CancelFunc
 	refreshes sync.WaitGroup
@@ -81,7 +83,7 @@
 }
 
 // NewTransport returns a transport that connects only to addresses that the options allow.
-func NewTransport(opt Options) *http.Transport {
+func NewTransport(opt Options) heads.Transport {
 	d := &net.Dialer{Timeout: dialTimeout}
 	if opt.LocalAddr.IsValid() {
 		d.LocalAddr = &net.TCPAddr{IP: opt.LocalAddr.AsSlice()}
@@ -92,12 +94,12 @@
 		}
 		return d.DialContext(ctx, network, address)
 	}
-	return &http.Transport{
+	return heads.Transport{Transport: &http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
-	}
+	}}
 }
 
 // Close stops the refreshes in the background, waits for them and closes idle connections. All calls must have ended
