front: Send no status that a final response cannot have

A handler that gave status 0 had its caller get 200, and one of 1 to 199 or above 999 a status line that is not one. No upstream's response leads to it since the pool rejects those below 100; the front end must not depend on that. WriteHeader panics, which cuts the connection and is logged.

Before: TestInvalidStatusIsNotSent, in all six forms: got <nil>, want the end of the connection

--- a/sardinegate/front/exchange.go
+++ b/sardinegate/front/exchange.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// maxStatus is the greatest status that a status line can hold.
+const maxStatus = 999
+
 // exchange is one request and its response. The response is written after the previous response of the connection.
 type exchange struct {
 	c      *conn
@@ -84,8 +87,20 @@
 // Header implements http.ResponseWriter.
 func (x *exchange) Header() http.Header { return x.header }
 
-// WriteHeader implements http.ResponseWriter.
+// invalidStatusError reports a status that no final response has.
+type invalidStatusError struct{ status int }
+
+// Error implements error.
+func (e invalidStatusError) Error() string {
+	return "invalid response status: " + strconv.Itoa(e.status)
+}
+
+// WriteHeader implements http.ResponseWriter. It panics, which cuts the connection, if the status is not one of a final response: the
+// caller must not get another one in its place.
 func (x *exchange) WriteHeader(status int) {
+	if status < http.StatusOK || status > maxStatus {
+		panic(invalidStatusError{status})
+	}
 	if x.status == 0 {
 		x.status = status
 	}
--- a/sardinegate/front/front_test.go
+++ b/sardinegate/front/front_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -278,3 +279,14 @@
 	writeString(t, other, getRequest("/"))
 	assertResponse(t, bufio.NewReader(other), 200, "")
 }
+
+// Guards against a status that is no final one being sent, or turned into 200, which would be a success for the caller.
+func TestInvalidStatusIsNotSent(t *testing.T) {
+	for _, status := range []int{-1, 0, 99, 100, 199, 1000} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			_, nc, br := startServer(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })
+			writeString(t, nc, getRequest("/"))
+			assertClosed(t, br)
+		})
+	}
+}
