heads, pool: Keep one limit of interim responses

The pool and package heads each had a constant for it. The pool uses that of heads now; no behaviour changes. Comments say what the lock of stream.Conn guards and how clients have to treat statuses above 599. The tests of pool, heads and stream pass.

--- a/lib/common/heads/heads.go
+++ b/lib/common/heads/heads.go
@@ -10,7 +10,7 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// minStatus is the lowest status that HTTP defines. Higher ones than it defines count as those of failures.
+// minStatus is the lowest valid status. Those above 599 are not defined, but clients have to treat them as server errors (RFC 9110).
 const minStatus = 100
 
 // StatusError reports a response with a status below 100.
--- a/lib/common/heads/heads_test.go
+++ b/lib/common/heads/heads_test.go
@@ -73,7 +73,7 @@
 // Guards against interim responses without end, and against an invalid name in one of them.
 func TestInterimResponses(t *testing.T) {
 	var i Interim
-	for range maxInterim {
+	for range MaxInterim {
 		if err := i.Check(http.StatusEarlyHints, textproto.MIMEHeader{"A": {"b"}}); err != nil {
 			t.Fatal(err)
 		}
--- a/lib/common/heads/interim.go
+++ b/lib/common/heads/interim.go
@@ -6,8 +6,8 @@
 	"net/textproto"
 )
 
-// maxInterim limits the interim (1xx) responses before the final response.
-const maxInterim = 8
+// MaxInterim limits the interim (1xx) responses before the final response.
+const MaxInterim = 8
 
 // InterimLimitError reports more interim responses than the limit allows.
 type InterimLimitError struct{ Limit int }
@@ -23,8 +23,8 @@
 // Check can be the Got1xxResponse of an httptrace.ClientTrace. It returns an error if the head of the response is not valid, or if there
 // were too many before it: net/http itself does not limit them while there is such a function.
 func (i *Interim) Check(_ int, header textproto.MIMEHeader) error {
-	if i.count++; i.count > maxInterim {
-		return &InterimLimitError{maxInterim}
+	if i.count++; i.count > MaxInterim {
+		return &InterimLimitError{MaxInterim}
 	}
 	return checkNames(http.Header(header))
 }
--- a/lib/common/stream/stream.go
+++ b/lib/common/stream/stream.go
@@ -31,7 +31,7 @@
 type Conn struct {
 	net.Conn
 
-	// mu is held during each write.
+	// mu is held during each write, and guards failure.
 	mu sync.Mutex
 	// failure is the error of the first write that failed because the connection did; nil before that.
 	failure error
--- a/sardinegate/pool/conn.go
+++ b/sardinegate/pool/conn.go
@@ -31,8 +31,6 @@
 	maxSkipped = 4
 	// maxHeadBytes bounds the head of one response, in bytes.
 	maxHeadBytes = 64 << 10
-	// maxInterim limits the interim (1xx) responses before the final response.
-	maxInterim = 8
 )
 
 // readResult is the outcome of one read: a response, whose body is still on the connection, or an error.
@@ -186,7 +184,7 @@
 		case r.resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, &UpgradeError{}
 		case r.resp.StatusCode < http.StatusOK:
-			if interim++; interim > maxInterim {
+			if interim++; interim > heads.MaxInterim {
 				return nil, &NoMatchingResponseError{}
 			}
 		case matches(r.resp):
