--- a/proofs/soak/plan.go
+++ b/proofs/soak/plan.go
@@ -164,12 +164,14 @@
 		{Kind: Routes}, {Kind: Drain, Service: pick(g, users.Services()...), Mode: pick(g, "passau", "landshut")},
 		{Kind: Evacuate, Mode: pick(g, "passau", "landshut"), For: SettleTime + CalmTime},
 	}
-	// Drawn from numbers of its own, so that a seed keeps its other events.
+	// The series from here on are drawn from numbers of their own, so that a seed keeps its other events.
 	g = generator{rand.New(rand.NewPCG(seed, 1))}
 	p.Series = append(p.Series, []Event{{
 		Kind: Rollout, At: g.between(0, 3*time.Second), For: OrderTime, Service: pick(g, users.Services()...),
 		Mode: pick(g, GoodVersion, GoodVersion, Failing, Slowed, FailingLate),
 	}})
+	g = generator{rand.New(rand.NewPCG(seed, 2))}
+	p.Series = append(p.Series, []Event{g.brokenResponses()})
 	return p
 }
 
@@ -242,6 +244,14 @@
 	return e
 }
 
+// brokenResponses returns a Fault under which upstreams send responses that must not reach a caller as complete.
+func (g generator) brokenResponses() Event {
+	return Event{
+		Kind: Fault, At: g.between(0, FaultTime), For: g.between(500*time.Millisecond, 4*time.Second), Service: pick(g, users.Services()...),
+		Mode: string(pick(g, server.ResetUpload, server.ZeroStatus, server.BlankInName, server.BlankInLength, server.BlankInChunked)),
+	}
+}
+
 func (g generator) configurationEvent() Event {
 	if g.IntN(2) == 0 {
 		return Event{Kind: Routes}
