--- a/proofs/broken_test.go
+++ b/proofs/broken_test.go
@@ -114,25 +114,27 @@
 	}
 }
 
-// assertLogged checks that a host has logged a cause for a request that an upstream broke.
-func (s *gateSite) assertLogged(t *testing.T, h *gateHost, calls []*brokenCall, cause string) {
-	t.Helper()
-	out, err := os.ReadFile(h.Output.Name())
-	if err != nil {
-		t.Fatal(err)
-	}
-	for line := range strings.Lines(string(out)) {
-		if strings.Contains(line, cause) && slices.ContainsFunc(calls, func(c *brokenCall) bool {
-			return strings.Contains(line, `"id":"`+c.ID+`"`)
-		}) {
-			return
+// waitLogged waits until a host has logged a cause for one of the requests.
+func (s *gateSite) waitLogged(h *gateHost, calls []*brokenCall, cause string) {
+	s.T.Helper()
+	s.Wait(fmt.Sprintf("host %s to log a request with the cause %q", h.ID, cause), func() bool {
+		out, err := os.ReadFile(h.Output.Name())
+		if err != nil {
+			s.T.Fatal(err)
 		}
-	}
-	t.Errorf("host %s has logged no request with the cause %q", h.ID, cause)
+		for line := range strings.Lines(string(out)) {
+			if strings.Contains(line, cause) && slices.ContainsFunc(calls, func(c *brokenCall) bool {
+				return strings.Contains(line, `"id":"`+c.ID+`"`)
+			}) {
+				return true
+			}
+		}
+		return false
+	})
 }
 
-// assertServedAgain waits until requests are served, now that no upstream sends broken responses any more.
-func (s *gateSite) assertServedAgain(h *gateHost) {
+// waitServed waits until requests are served, now that no upstream sends broken responses any more.
+func (s *gateSite) waitServed(h *gateHost) {
 	s.T.Helper()
 	l := &gateLoad{s: s}
 	s.Wait("requests to be served", func() bool {
@@ -151,7 +153,12 @@
 	s := newGateSiteWith(t, 1, 2)
 	h := s.hosts[0]
 	s.sendCommand(map[string]any{"MaxBodyBytes": 2 * bodyLength})
-	time.Sleep(noticeTime) // until the configuration is in force
+	s.Wait("uploads to be allowed", func() bool {
+		c := s.newBrokenCall(false)
+		c.bodyLength = bodyLength
+		c.send(t, h)
+		return c.status == http.StatusOK
+	})
 	s.setFault(server.ResetUpload, 0, s.upstreamIDs(users.OrderService)...)
 	var calls []*brokenCall
 	for _, chunked := range []bool{false, true} {
@@ -173,9 +180,9 @@
 	}
 	wg.Wait()
 	s.assertNotAnswered(t, calls)
-	s.assertLogged(t, h, calls, "reset by peer")
+	s.waitLogged(h, calls, "reset by peer")
 	s.setFault(server.NoFault, 0)
-	s.assertServedAgain(h)
+	s.waitServed(h)
 }
 
 // Guards against a response with an invalid head that reaches the caller, whole or as one of another length, and against an order that
@@ -202,9 +209,9 @@
 				calls = append(calls, c)
 			}
 			s.assertNotAnswered(t, calls)
-			s.assertLogged(t, h, calls, cause)
+			s.waitLogged(h, calls, cause)
 			s.setFault(server.NoFault, 0)
-			s.assertServedAgain(h)
+			s.waitServed(h)
 		})
 	}
 }
--- a/sardinegate/pool/reset_test.go
+++ b/sardinegate/pool/reset_test.go
@@ -116,7 +116,8 @@
 		},
 		"then reads nothing": func(nc *net.TCPConn) {
 			_ = nc.CloseWrite()
-			time.Sleep(100 * time.Millisecond)
+			awaitDelivery(nc)
+			time.Sleep(100 * time.Millisecond) // the upload stays blocked meanwhile
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
