pool: Make TestOrderlyEndDuringUploadIsTheEndOfTheResponse fail without its guard

With the write deadline of stream.Conn off, the test passed: its upstream closed after 100 ms, and a response that came at the time limit counted. The upstream now reads nothing until the caller has the response, and one that is complete only at the time limit is an error, also in TestEarlyResponseDoesNotWaitForTheCaller. No program is changed.

--- a/sardinegate/pool/reset_test.go
+++ b/sardinegate/pool/reset_test.go
@@ -105,19 +105,18 @@
 // Guards against an early response that is taken for cut although its upstream has ended it in order: what the upstream does with the
 // rest of the request says nothing about the response.
 func TestOrderlyEndDuringUploadIsTheEndOfTheResponse(t *testing.T) {
-	for name, end := range map[string]func(nc *net.TCPConn){
-		"then closes": func(nc *net.TCPConn) {
+	for name, end := range map[string]func(nc *net.TCPConn, received <-chan struct{}){
+		"then closes": func(nc *net.TCPConn, _ <-chan struct{}) {
 			_ = nc.CloseWrite()
 			awaitDelivery(nc) // closing earlier would discard what is not delivered
 		},
-		"then reads on": func(nc *net.TCPConn) {
+		"then reads on": func(nc *net.TCPConn, _ <-chan struct{}) {
 			_ = nc.CloseWrite()
 			_, _ = io.Copy(io.Discard, nc)
 		},
-		"then reads nothing": func(nc *net.TCPConn) {
+		"then reads nothing": func(nc *net.TCPConn, received <-chan struct{}) {
 			_ = nc.CloseWrite()
-			awaitDelivery(nc)
-			time.Sleep(100 * time.Millisecond) // the upload stays blocked meanwhile
+			<-received // the upload stays blocked until then
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -125,10 +124,16 @@
 				p := newPool(t)
 				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 				defer cancel()
-				n, err := readWhole(ctx, p, newUpload(startUpstream(t, answerUpload(size, end)), known))
+				received := make(chan struct{})
+				defer close(received)
+				addr := startUpstream(t, answerUpload(size, func(nc *net.TCPConn) { end(nc, received) }))
+				n, err := readWhole(ctx, p, newUpload(addr, known))
 				if err != nil || n != int64(size) {
 					t.Errorf("got %d bytes of body, error %v, want %d", n, err, size)
 				}
+				if ctx.Err() != nil {
+					t.Error("the response was complete only at its time limit")
+				}
 			})
 		})
 	}
@@ -151,8 +156,8 @@
 	r.BodyRest = rest
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	if n, err := readWhole(ctx, p, r); err != nil || n != 10 {
-		t.Errorf("got %d bytes of body, error %v, want 10", n, err)
+	if n, err := readWhole(ctx, p, r); err != nil || n != 10 || ctx.Err() != nil {
+		t.Errorf("got %d bytes of body, error %v, time limit %v, want 10 before it", n, err, ctx.Err())
 	}
 }
 
