--- a/lib/common/httpc/httpc.go
+++ b/lib/common/httpc/httpc.go
@@ -117,20 +117,27 @@
 // *SizeError if the body is longer than limit bytes. A response that is cut, or whose head is not valid, is another error: it says
 // nothing about the request. The request's context must come from Begin.
 func (c *Client) Do(req *http.Request, limit int64) ([]byte, error) {
+	body, _, err := c.DoWithHeader(req, limit)
+	return body, err
+}
+
+// DoWithHeader is Do and returns the header of the response as well, also beside a *StatusError. The header is nil if there was no
+// response.
+func (c *Client) DoWithHeader(req *http.Request, limit int64) ([]byte, http.Header, error) {
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	defer resp.Body.Close() //nolint:errcheck // the body has been read or is discarded
 	if resp.StatusCode != http.StatusOK {
-		return nil, &StatusError{Status: resp.StatusCode}
+		return nil, resp.Header, &StatusError{Status: resp.StatusCode}
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
-		return nil, err
+		return nil, resp.Header, err
 	}
 	if int64(len(body)) > limit {
-		return nil, &SizeError{Limit: limit}
+		return nil, resp.Header, &SizeError{Limit: limit}
 	}
-	return body, nil
+	return body, resp.Header, nil
 }
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -83,6 +83,8 @@
 	Listed    bool
 	// Orders holds the operators' orders by service.
 	Orders map[string]Order
+	// StoreEra is the era of the store in which the operators' records were read, 0 if it is not known.
+	StoreEra int64
 }
 
 // Usable reports whether requests to a service may be sent to u.
--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -19,13 +19,13 @@
 // Guards against a list that misses changes or goes back: changes that do not follow its position are refused.
 func TestApplyRefusesNonContiguousChanges(t *testing.T) {
 	l := NewList()
-	if l.Apply(0, ReadAt(0), 5, 6, nil) {
+	if l.Apply(0, ReadAt(0), At(0, 5), At(0, 6), nil) {
 		t.Fatal("changes from 5 to 6 applied to a list at position 0")
 	}
-	if !l.Apply(0, ReadAt(0), 0, 2, []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}}) || l.Offset != 2 {
+	if !l.Apply(0, ReadAt(0), At(0, 0), At(0, 2), []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}}) || l.Position != At(0, 2) {
 		t.Fatal("changes from 0 to 2 not applied to a list at position 0")
 	}
-	if l.Apply(0, ReadAt(0), 0, 1, []Change{{ID: "a"}}) {
+	if l.Apply(0, ReadAt(0), At(0, 0), At(0, 1), []Change{{ID: "a"}}) {
 		t.Fatal("changes up to 1 applied to a list at position 2")
 	}
 	assertListed(t, l, "a", true)
@@ -36,12 +36,12 @@
 	l := NewList()
 	leaving := newEntry("a", 2, 5)
 	leaving.State = Leaving
-	l.Apply(0, ReadAt(0), 0, 1, []Change{{ID: "a", Upstream: leaving}})
-	l.Apply(0, ReadAt(0), 1, 3, []Change{{ID: "a", Upstream: newEntry("a", 2, 4)}, {ID: "a", Upstream: newEntry("a", 1, 9)}})
+	l.Apply(0, ReadAt(0), At(0, 0), At(0, 1), []Change{{ID: "a", Upstream: leaving}})
+	l.Apply(0, ReadAt(0), At(0, 1), At(0, 3), []Change{{ID: "a", Upstream: newEntry("a", 2, 4)}, {ID: "a", Upstream: newEntry("a", 1, 9)}})
 	if u, _ := l.Get("a"); u.State != Leaving {
 		t.Fatal("an older report replaced a newer one")
 	}
-	l.Apply(0, ReadAt(0), 3, 4, []Change{{ID: "a", Upstream: newEntry("a", 3, 1)}})
+	l.Apply(0, ReadAt(0), At(0, 3), At(0, 4), []Change{{ID: "a", Upstream: newEntry("a", 3, 1)}})
 	if u, _ := l.Get("a"); u.State != Ready {
 		t.Fatal("the first report after a restart did not replace the entry")
 	}
@@ -63,14 +63,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := NewList()
-			l.Apply(0, ReadAt(0), 0, 1, []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}, {ID: "b", Upstream: newEntry("b", 1, 1)}})
-			l.Apply(outageEnd, ReadAt(outageEnd), 1, 2, []Change{{ID: "a"}, {ID: "b"}})
+			l.Apply(0, ReadAt(0), At(0, 0), At(0, 1), []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}, {ID: "b", Upstream: newEntry("b", 1, 1)}})
+			l.Apply(outageEnd, ReadAt(outageEnd), At(0, 1), At(0, 2), []Change{{ID: "a"}, {ID: "b"}})
 			assertListed(t, l, "a", true)
 			assertListed(t, l, "b", true)
 			listedAt := outageEnd + time.Second
-			l.Apply(listedAt, ReadAt(listedAt), 2, 3, []Change{{ID: "a", Upstream: newEntry("a", 1, 2)}})
+			l.Apply(listedAt, ReadAt(listedAt), At(0, 2), At(0, 3), []Change{{ID: "a", Upstream: newEntry("a", 1, 2)}})
 			if c.read > 0 {
-				l.Apply(outageEnd+c.read, ReadAt(outageEnd+c.read), 3, 3, nil)
+				l.Apply(outageEnd+c.read, ReadAt(outageEnd+c.read), At(0, 3), At(0, 3), nil)
 			}
 			if l.Expire(outageEnd+c.gone-1) != (c.read == relistTime) {
 				t.Fatal("an entry expired before live upstreams were listed again, or none after a read had shown that they were")
@@ -94,13 +94,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := NewList()
-			l.Apply(0, ReadAt(0), 0, 1, []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}})
-			l.Apply(outageEnd, ReadAt(outageEnd), 1, 1, nil)
-			l.Apply(outageEnd+time.Second, ReadAt(outageEnd+time.Second), 1, 1, nil)
+			l.Apply(0, ReadAt(0), At(0, 0), At(0, 1), []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}})
+			l.Apply(outageEnd, ReadAt(outageEnd), At(0, 1), At(0, 1), nil)
+			l.Apply(outageEnd+time.Second, ReadAt(outageEnd+time.Second), At(0, 1), At(0, 1), nil)
 			found := outageEnd + c.found
-			l.Apply(found, ReadAt(found), 1, 2, []Change{{ID: "a"}})
+			l.Apply(found, ReadAt(found), At(0, 1), At(0, 2), []Change{{ID: "a"}})
 			assertListed(t, l, "a", c.kept)
-			l.Apply(outageEnd+relistTime, ReadAt(outageEnd+relistTime), 2, 2, nil)
+			l.Apply(outageEnd+relistTime, ReadAt(outageEnd+relistTime), At(0, 2), At(0, 2), nil)
 			l.Expire(outageEnd + relistTime)
 			assertListed(t, l, "a", false)
 		})
@@ -121,8 +121,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := NewList()
-			l.Apply(0, ReadAt(0), 0, 1, listed)
-			l.Apply(outageEnd, when.reads, 1, 2, []Change{{ID: "a"}})
+			l.Apply(0, ReadAt(0), At(0, 0), At(0, 1), listed)
+			l.Apply(outageEnd, when.reads, At(0, 1), At(0, 2), []Change{{ID: "a"}})
 			l.Reads = l.Reads.With(when.after)
 			l.Expire(outageEnd)
 			assertListed(t, l, "a", false)
@@ -164,9 +164,9 @@
 func TestReplaceRemovesMissingEntries(t *testing.T) {
 	l := NewList()
 	const later = relistTime + time.Second // without an outage
-	l.Replace(0, ReadAt(0), 3, []Upstream{*newEntry("a", 1, 1), *newEntry("b", 1, 1)})
-	l.Replace(later, ReadsBetween(0, later), 4, []Upstream{*newEntry("a", 1, 1), *newEntry("b", 1, 1)})
-	l.Replace(later, ReadAt(later), 5, []Upstream{*newEntry("b", 1, 2)})
+	l.Replace(0, ReadAt(0), At(0, 3), []Upstream{*newEntry("a", 1, 1), *newEntry("b", 1, 1)})
+	l.Replace(later, ReadsBetween(0, later), At(0, 4), []Upstream{*newEntry("a", 1, 1), *newEntry("b", 1, 1)})
+	l.Replace(later, ReadAt(later), At(0, 5), []Upstream{*newEntry("b", 1, 2)})
 	assertListed(t, l, "a", false)
 	assertListed(t, l, "b", true)
 }
@@ -175,13 +175,13 @@
 // that has lapsed there must lapse here as well.
 func TestLapsedEntriesLapseInACopy(t *testing.T) {
 	l, c := NewList(), NewList()
-	l.Apply(0, ReadAt(0), 0, 2, []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}, {ID: "b", Upstream: newEntry("b", 1, 1)}})
-	l.Apply(outageEnd, ReadAt(outageEnd), 2, 3, []Change{{ID: "a"}})
+	l.Apply(0, ReadAt(0), At(0, 0), At(0, 2), []Change{{ID: "a", Upstream: newEntry("a", 1, 1)}, {ID: "b", Upstream: newEntry("b", 1, 1)}})
+	l.Apply(outageEnd, ReadAt(outageEnd), At(0, 2), At(0, 3), []Change{{ID: "a"}})
 	const left = time.Second // until the entry is removed
 	c.Restore(time.Minute, l.Snapshot(l.Reads.keepUntil()-left))
 	assertListed(t, c, "a", true)
-	if c.Offset != 3 || c.Digest() != l.Digest() {
-		t.Fatalf("the copy is at position %d with digest %x, want 3 and %x", c.Offset, c.Digest(), l.Digest())
+	if c.Position != At(0, 3) || c.Digest() != l.Digest() {
+		t.Fatalf("the copy is at position %v with digest %x, want 3 and %x", c.Position, c.Digest(), l.Digest())
 	}
 	c.Expire(time.Minute + left - 1)
 	assertListed(t, c, "a", true)
@@ -195,7 +195,7 @@
 	l, c := NewList(), NewList()
 	leaving := newEntry("a", 1, 5)
 	leaving.State = Leaving
-	l.Apply(0, ReadAt(0), 0, 2, []Change{{ID: "a", Upstream: leaving}, {ID: "a", Upstream: newEntry("a", 1, 4)}})
+	l.Apply(0, ReadAt(0), At(0, 0), At(0, 2), []Change{{ID: "a", Upstream: leaving}, {ID: "a", Upstream: newEntry("a", 1, 4)}})
 	c.Restore(0, l.Snapshot(0))
 	if u, _ := c.Get("a"); u.State != Leaving {
 		t.Fatalf("the copy lists %+v, want the later report", u)
--- a/lib/fleet/list.go
+++ b/lib/fleet/list.go
@@ -9,27 +9,34 @@
 
 // List is the list of upstreams as of one position in the store.
 type List struct {
-	// Offset is the position in the store up to which the list is complete.
-	Offset int64
-	// Reads holds the reads of the store by any host. The last one confirmed Offset.
+	// Progress holds the position in the store up to which the list is complete.
+	Progress
+	// Reads holds the reads of the store by any host in the era of Position. The last one confirmed Position.
 	Reads Reads
 	// entries holds the upstreams in use.
 	entries map[string]Upstream
 	// lapsing holds the IDs of entries that were removed from the store and may have lapsed.
 	lapsing map[string]struct{}
-	// recorded holds the last record of each upstream up to Offset, in the order of the store. An entry in use differs
-	// from it if it has lapsed or if its record came after one with a later report.
+	// recorded holds the last record of each upstream up to Position, in the order of the store. An entry in use differs
+	// from it if it has lapsed, if its record came after one with a later report, or if it is a removed one that came back with a
+	// copy of the store.
 	recorded map[string]Upstream
+	// removals holds the entries that were removed lately. Until restoreGrace after the store was restored, records that are not
+	// newer than these are not used.
+	removals removals
 	// digest is the exclusive or of the digests of all upstreams in recorded.
 	digest uint64
 }
 
 // NewList returns an empty list at position 0.
 func NewList() *List {
-	return &List{entries: make(map[string]Upstream), lapsing: make(map[string]struct{}), recorded: make(map[string]Upstream)}
+	return &List{
+		entries: make(map[string]Upstream), lapsing: make(map[string]struct{}), recorded: make(map[string]Upstream),
+		removals: newRemovals(),
+	}
 }
 
-// Digest returns a hash of the last record of each upstream up to Offset. Lists at the same position have the same digest.
+// Digest returns a hash of the last record of each upstream up to Position. Lists at the same position have the same digest.
 func (l *List) Digest() uint64 { return l.digest }
 
 // record updates recorded and digest by a change. u is nil if the upstream was removed.
@@ -45,9 +52,10 @@
 }
 
 // Apply applies the changes between the positions from and to, which the last of the given reads found. It returns false and
-// changes nothing if the list is not complete up to from, which would leave a gap, or is already beyond to.
-func (l *List) Apply(now time.Duration, reads Reads, from, to int64, changes []Change) bool {
-	if from > l.Offset || to < l.Offset {
+// changes nothing if the list is not complete up to from, which would leave a gap, or is already beyond to, or if they are of
+// another era.
+func (l *List) Apply(now time.Duration, reads Reads, from, to Position, changes []Change) bool {
+	if from.Era != l.Position.Era || to.Era != l.Position.Era || from.After(l.Position) || l.Position.After(to) {
 		return false
 	}
 	l.Reads = l.Reads.With(reads)
@@ -55,13 +63,17 @@
 		l.record(c.ID, c.Upstream)
 		l.applyChange(now, c)
 	}
-	l.Offset = to
+	l.Position = to
 	return true
 }
 
 // Replace replaces the list by the entries as of position to, which the last of the given reads found. Entries missing from
-// them are removed, those that may have lapsed later.
-func (l *List) Replace(now time.Duration, reads Reads, to int64, entries []Upstream) {
+// them are removed, those that may have lapsed later. If the store was restored, all missing entries may have lapsed: their
+// upstreams may have been listed after the copy was made, and list themselves again.
+func (l *List) Replace(now time.Duration, reads Reads, to Position, entries []Upstream) {
+	if to.RestoredSince(l.Position) {
+		l.beginEra(now, reads)
+	}
 	l.Reads = l.Reads.With(reads)
 	listed := make(map[string]struct{}, len(entries))
 	clear(l.recorded)
@@ -76,13 +88,21 @@
 			l.applyChange(now, Change{ID: id})
 		}
 	}
-	l.Offset = to
+	l.Position = to
+}
+
+// beginEra prepares the list for the records of a store that was restored from a copy before the given reads.
+func (l *List) beginEra(now time.Duration, reads Reads) {
+	l.Previous = l.Position
+	l.Reads = reads.withOutageUntil(reads.First)
+	l.removals.guardUntil = now + restoreGrace
 }
 
-// applyChange applies one change. It ignores an entry that is older than the listed one.
+// applyChange applies one change. It ignores an entry that is older than the listed one, or than one that was removed before the
+// store was restored.
 func (l *List) applyChange(now time.Duration, c Change) {
 	if c.Upstream != nil {
-		if old, ok := l.entries[c.ID]; ok && old.newer(c.Upstream) {
+		if old, ok := l.entries[c.ID]; ok && old.newer(c.Upstream) || l.removals.guards(now, c.Upstream) {
 			return
 		}
 		l.entries[c.ID] = *c.Upstream
@@ -93,8 +113,16 @@
 		l.lapsing[c.ID] = struct{}{}
 		return
 	}
-	delete(l.entries, c.ID)
-	delete(l.lapsing, c.ID)
+	l.remove(now, c.ID, false)
+}
+
+// remove removes an entry from those in use. lapsed is set if it was not listed again after an outage.
+func (l *List) remove(now time.Duration, id string, lapsed bool) {
+	if u, ok := l.entries[id]; ok {
+		l.removals.add(now, u, lapsed)
+	}
+	delete(l.entries, id)
+	delete(l.lapsing, id)
 }
 
 // Lapses reports whether the removal of an entry that a read sent at the given time finds now may be due to an outage of the
@@ -110,18 +138,32 @@
 }
 
 // Expire removes the entries that may have lapsed and were not listed again in time, or of which reads of other hosts have shown
-// that there was no outage. It reports whether there were any.
+// that there was no outage. After restoreGrace it uses the records that removals kept from use. It reports whether there were any.
 func (l *List) Expire(now time.Duration) bool {
+	l.removals.forget(now)
+	released := l.release(now)
 	if len(l.lapsing) == 0 || l.Reads.keepsLapsed(now) {
-		return false
+		return released
 	}
 	for id := range l.lapsing {
-		delete(l.entries, id)
+		l.remove(now, id, true)
 	}
-	clear(l.lapsing)
 	return true
 }
 
+// release uses the records that removals kept from use once these guard no longer. It reports whether there were any.
+func (l *List) release(now time.Duration) bool {
+	released := false
+	for _, u := range l.removals.endGuard(now) {
+		recorded, ok := l.recorded[u.ID]
+		if _, used := l.entries[u.ID]; ok && !used {
+			l.entries[u.ID] = recorded
+			released = true
+		}
+	}
+	return released
+}
+
 // Entries returns the upstreams, sorted by ID.
 func (l *List) Entries() []Upstream { return sortedByID(l.entries) }
 
@@ -147,6 +189,7 @@
 
 // Snapshot is a copy of a list for another host.
 type Snapshot struct {
+	// Offset is the offset of the list's position.
 	Offset int64 `cbor:"1,keyasint"`
 	// Age is the time since the read that confirmed Offset was sent.
 	Age time.Duration `cbor:"2,keyasint"`
@@ -154,6 +197,28 @@
 	Recorded []Upstream `cbor:"3,keyasint,omitempty"`
 	// Kept holds the entries in use that differ from Recorded.
 	Kept []KeptEntry `cbor:"4,keyasint,omitempty"`
+	// Era is the era of the list's position, and Previous the position before that era if it is known. Hosts of earlier releases do
+	// not send these and the following fields.
+	Era      int64     `cbor:"5,keyasint,omitempty"`
+	Previous *Position `cbor:"6,keyasint,omitempty"`
+	// Removed holds the entries that were removed lately, if records that are not newer are not used for the time GuardLeft.
+	Removed   []Upstream    `cbor:"7,keyasint,omitempty"`
+	GuardLeft time.Duration `cbor:"8,keyasint,omitempty"`
+}
+
+// WithoutEra returns the snapshot with the fields that hosts of earlier releases know.
+func (s Snapshot) WithoutEra() Snapshot {
+	s.Era, s.Previous, s.Removed, s.GuardLeft = 0, nil, nil, 0
+	return s
+}
+
+// Progress returns the progress of the list.
+func (s Snapshot) Progress() Progress {
+	p := Progress{Position: At(s.Era, s.Offset)}
+	if s.Previous != nil {
+		p.Previous = *s.Previous
+	}
+	return p
 }
 
 // KeptEntry is an entry in use that differs from the last record of its upstream.
@@ -165,7 +230,12 @@
 
 // Snapshot returns a copy of the list.
 func (l *List) Snapshot(now time.Duration) Snapshot {
-	s := Snapshot{Offset: l.Offset, Age: now - l.Reads.Last, Recorded: sortedByID(l.recorded)}
+	s := Snapshot{
+		Offset: l.Position.Offset, Age: now - l.Reads.Last, Recorded: sortedByID(l.recorded), Era: l.Position.Era,
+	}
+	if previous := l.Previous; previous != (Position{}) {
+		s.Previous = &previous
+	}
 	for _, u := range sortedByID(l.entries) {
 		switch {
 		case l.Lapsing(u.ID):
@@ -174,21 +244,39 @@
 			s.Kept = append(s.Kept, KeptEntry{Upstream: u})
 		}
 	}
+	if left := l.removals.guardUntil - now; left > 0 {
+		s.Removed, s.GuardLeft = l.removals.all(), left
+	}
 	return s
 }
 
-// Restore replaces the list by a snapshot of another host. Entries missing from it are removed, those that may have lapsed
-// later. A list that was read or copied before is changed as the reads known to this host show; else the other host's judgement of
-// lapses holds.
+// Restore takes over a snapshot of another host. If that host is not behind, its list replaces this one: entries missing from it are
+// removed, those that may have lapsed later. A list that was read or copied before is changed as the reads known to this host show;
+// else the other host's judgement of lapses holds. Of a host that is behind, only what it knew before the store was restored is
+// taken over.
 func (l *List) Restore(now time.Duration, s Snapshot) {
-	first := !l.Reads.any
-	l.Replace(now, ReadAt(now-s.Age), s.Offset, s.Recorded)
+	first, to := !l.Reads.any, s.Progress()
+	if to.Position.Era < l.Position.Era {
+		return
+	}
+	reads := ReadAt(now - s.Age)
+	if to.Position.RestoredSince(l.Position) {
+		l.beginEra(now, reads)
+	}
+	l.learnRemovals(now, s)
+	if !l.Position.After(to.Position) {
+		l.Position.Era = to.Position.Era
+		l.Replace(now, reads, to.Position, s.Recorded)
+	}
+	if to.Previous.After(l.Previous) {
+		l.Previous = to.Previous
+	}
 	for _, k := range s.Kept {
 		if k.Left == 0 {
 			l.applyChange(now, Change{ID: k.Upstream.ID, Upstream: &k.Upstream})
 			continue
 		}
-		if _, listed := l.entries[k.Upstream.ID]; listed {
+		if _, listed := l.entries[k.Upstream.ID]; listed || l.removals.guards(now, &k.Upstream) {
 			continue
 		}
 		if first {
@@ -198,3 +286,14 @@
 		l.lapsing[k.Upstream.ID] = struct{}{}
 	}
 }
+
+// learnRemovals takes over the removals that another host knows and removes the entries that these show to be out of date.
+func (l *List) learnRemovals(now time.Duration, s Snapshot) {
+	l.removals.merge(now, s.Removed, s.GuardLeft)
+	for id, u := range l.entries {
+		if l.removals.guards(now, &u) {
+			delete(l.entries, id)
+			delete(l.lapsing, id)
+		}
+	}
+}
--- a/lib/fleet/rollout.go
+++ b/lib/fleet/rollout.go
@@ -37,10 +37,11 @@
 	Version string
 }
 
-// ConflictError reports that a conditional write was refused, because the stream does not end at the position.
-type ConflictError struct{ At int64 }
+// ConflictError reports that a conditional write was refused, because the stream does not end at the position, or the store is in another
+// era.
+type ConflictError struct{ At Position }
 
 // Error implements error.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("records were appended from position %d on", e.At)
+	return fmt.Sprintf("the stream does not end at position %v any more", e.At)
 }
--- a/lib/fleet/source.go
+++ b/lib/fleet/source.go
@@ -41,20 +41,20 @@
 }
 
 // GapError reports that records from position From on were deleted and cannot be read any more.
-type GapError struct{ From int64 }
+type GapError struct{ From Position }
 
 // Error implements error.
 func (e *GapError) Error() string {
-	return fmt.Sprintf("records from offset %d on were deleted from the store", e.From)
+	return fmt.Sprintf("records from position %v on were deleted from the store", e.From)
 }
 
 // Source reads and writes the platform's store and decodes its records.
 type Source interface {
-	// Read returns the records of a stream from a position on and the position after them. The error is a GapError if
-	// records at that position were deleted.
-	Read(ctx context.Context, stream Stream, from int64) ([]Record, int64, error)
+	// Read returns the records of a stream from a position on and the position after them. The error is an EraError if the store
+	// answers in another era than that of the position, else a GapError if records at that position were deleted.
+	Read(ctx context.Context, stream Stream, from Position) ([]Record, Position, error)
 	// Newest returns the newest record of each key as of one position, and that position.
-	Newest(ctx context.Context, stream Stream) ([]Record, int64, error)
+	Newest(ctx context.Context, stream Stream) ([]Record, Position, error)
 	// Write appends a record to a stream.
 	Write(ctx context.Context, stream Stream, r Record) error
 	// HideKeys returns a record of the stream Operators with clients' keys replaced by their hashes. Read and Newest return
--- a/sardinegate/broker/broker.go
+++ b/sardinegate/broker/broker.go
@@ -109,6 +109,8 @@
 	rollouts    map[string]*rollout
 	evidenceAt  time.Duration // when the evidence was last logged
 	ordersKnown bool
+	// storeEra is the latest era of the store in a view.
+	storeEra int64
 }
 
 // New starts a broker with its background tasks.
--- a/sardinegate/broker/rollout.go
+++ b/sardinegate/broker/rollout.go
@@ -26,8 +26,6 @@
 	// the most that are in progress for an order. Their conditions keep all but one from taking effect.
 	statusRetry     = time.Second
 	maxStatusWrites = 5
-	// unknownPosition is the position of a record that has to be read before it is written.
-	unknownPosition = -1
 	// orderDelay is the age that an order is assumed to have when it is read. Hosts read the store every 0.75 s.
 	orderDelay = 800 * time.Millisecond
 	// statusLifetime is how long a state that is not final counts as known. Another owner, on the other side of a cut, may
@@ -42,12 +40,15 @@
 	finalTells = 5
 )
 
+// unknownPosition is the position of a record that has to be read before it is written. It is before all others.
+var unknownPosition = fleet.At(0, -1)
+
 // StatusStore reads and writes the states of orders.
 type StatusStore interface {
 	// ReadStatus returns the state of the order of a service, and the position up to which the states were read.
-	ReadStatus(ctx context.Context, service string) (fleet.Status, int64, error)
+	ReadStatus(ctx context.Context, service string) (fleet.Status, fleet.Position, error)
 	// WriteStatus appends a state. It fails with a fleet.ConflictError if states were appended after the position at.
-	WriteStatus(ctx context.Context, service string, at int64, status fleet.Status) error
+	WriteStatus(ctx context.Context, service string, at fleet.Position, status fleet.Status) error
 }
 
 // rollout is the rollout of a service on this host. Broker.mu guards it.
@@ -65,7 +66,7 @@
 	mayComplete bool
 	// record is what this host has last written or read in the store, and position the end of the states then, or unknownPosition.
 	record   fleet.Status
-	position int64
+	position fleet.Position
 	// completing is set from the begin of a write of the state complete until it is known that it did not take effect. The old
 	// upstreams may have stopped, so that the version is not rolled back.
 	completing bool
@@ -81,6 +82,7 @@
 // updateRollouts begins the rollouts of new orders and ends those of orders that were removed. b.mu must be held.
 func (b *Broker) updateRollouts(v *fleet.View) {
 	now := b.now()
+	b.updateStoreEra(v.StoreEra)
 	for service, r := range b.rollouts {
 		if o, ok := v.Orders[service]; !ok || o != r.Order {
 			delete(b.rollouts, service)
@@ -100,6 +102,20 @@
 	b.ordersKnown = b.ordersKnown || v.Routes != nil
 }
 
+// updateStoreEra records the era of the store. The states that were written before the store was restored may be lost, also final
+// ones, so that they are read and written again. b.mu must be held.
+func (b *Broker) updateStoreEra(era int64) {
+	if restored := b.storeEra > 0 && era > b.storeEra; restored {
+		for _, r := range b.rollouts {
+			r.position, r.stored = unknownPosition, fleet.RolloutNone
+		}
+	}
+	b.storeEra = max(b.storeEra, era)
+}
+
+// outdated reports whether a position is of an era before the one that the store is in. b.mu must be held.
+func (b *Broker) outdated(p fleet.Position) bool { return p.Era > 0 && p.Era < b.storeEra }
+
 // rolloutLoop moves the rollouts on until ctx ends.
 func (b *Broker) rolloutLoop(ctx context.Context) {
 	for interval := idleRolloutInterval; pause.For(ctx, interval); {
@@ -312,7 +328,7 @@
 		}
 	}
 	b.mu.Lock()
-	if b.rollouts[service] != r || !r.owned || at < r.position {
+	if b.rollouts[service] != r || !r.owned || r.position.After(at) || b.outdated(at) {
 		b.mu.Unlock()
 		return // the order has ended, or a later state is known
 	}
@@ -343,11 +359,12 @@
 		b.logStatusError(r, "write", err)
 		return
 	}
-	b.deps.Log.Info("rollout state written", "service", service, "version", r.Order.Version, "state", want.String(), "decidedBy", b.deps.Host)
-	if at < r.position {
-		return // a later state is known
+	b.deps.Log.Info("rollout state written", "service", service, "version", r.Order.Version, "state", want.String(),
+		"era", at.Era, "offset", at.Offset, "decidedBy", b.deps.Host)
+	if r.position.After(at) || b.outdated(at) {
+		return // a later state is known, or the store was restored since
 	}
-	r.record, r.position = status, at+1
+	r.record, r.position = status, at.WithOffset(at.Offset+1)
 	stage := canary.Waiting
 	if want == fleet.RolloutComplete {
 		stage = canary.Complete
--- a/sardinegate/broker/rollout_test.go
+++ b/sardinegate/broker/rollout_test.go
@@ -22,25 +22,27 @@
 type memoryStatuses struct {
 	mu      sync.Mutex
 	records []fleet.Status
+	// era is the era of the store.
+	era int64
 	// down lets all calls fail, lost lets writes take effect without an answer.
 	down, lost bool
 	// beforeWrite is called once before the next write.
 	beforeWrite func(m *memoryStatuses)
 }
 
-func (m *memoryStatuses) ReadStatus(context.Context, string) (fleet.Status, int64, error) {
+func (m *memoryStatuses) ReadStatus(context.Context, string) (fleet.Status, fleet.Position, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
-		return fleet.Status{}, 0, errStore
+		return fleet.Status{}, fleet.Position{}, errStore
 	}
 	if len(m.records) == 0 {
-		return fleet.Status{}, 0, nil
+		return fleet.Status{}, fleet.At(m.era, 0), nil
 	}
-	return m.records[len(m.records)-1], int64(len(m.records)), nil
+	return m.records[len(m.records)-1], fleet.At(m.era, int64(len(m.records))), nil
 }
 
-func (m *memoryStatuses) WriteStatus(_ context.Context, _ string, at int64, status fleet.Status) error {
+func (m *memoryStatuses) WriteStatus(_ context.Context, _ string, at fleet.Position, status fleet.Status) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
@@ -50,7 +52,7 @@
 		m.beforeWrite = nil
 		f(m)
 	}
-	if at != int64(len(m.records)) {
+	if at != fleet.At(m.era, int64(len(m.records))) {
 		return &fleet.ConflictError{At: at}
 	}
 	m.records = append(m.records, status)
@@ -241,3 +243,78 @@
 		t.Error("acknowledgements do not count")
 	}
 }
+
+// restore replaces the store by a copy that holds only the first n states.
+func (m *memoryStatuses) restore(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.era++
+	m.records = m.records[:n:n]
+}
+
+// learnEra tells a broker the era of the store in a view with the same orders.
+func learnEra(b *Broker, r *rollout, era int64) {
+	b.updateRollouts(&fleet.View{Orders: map[string]fleet.Order{"s": r.Order}, StoreEra: era})
+}
+
+// Guards against states, also final ones, that are missing for ever because the store was restored from a copy without them.
+func TestStatesLostWithTheCopyAreWrittenAgain(t *testing.T) {
+	ctx := context.Background()
+	for name, c := range map[string]struct {
+		reach func(b *Broker, r *rollout)
+		want  fleet.RolloutState
+	}{
+		"rolled back": {rollBack, fleet.RolloutRolledBack},
+		"complete":    {func(b *Broker, r *rollout) { r.Set(b.now(), canary.Moved); r.mayComplete = true }, fleet.RolloutComplete},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := &memoryStatuses{era: 1}
+			b, r := newRollout(t, m)
+			learnEra(b, r, 1)
+			b.writeStatus(ctx, r)
+			c.reach(b, r)
+			b.writeStatus(ctx, r)
+			assertStates(t, m, fleet.RolloutActive, c.want)
+			if r.statusDue(b.now()) {
+				t.Error("a final state is due though it is stored")
+			}
+			m.restore(1)
+			learnEra(b, r, 2)
+			for range 2 { // complete is not written in the call that finds another record
+				if r.statusDue(b.now()) {
+					b.writeStatus(ctx, r)
+				}
+			}
+			assertStates(t, m, fleet.RolloutActive, c.want)
+		})
+	}
+	t.Run("written while the store is restored", func(t *testing.T) {
+		m := &memoryStatuses{era: 1}
+		b, r := newRollout(t, m)
+		learnEra(b, r, 1)
+		b.writeStatus(ctx, r)
+		rollBack(b, r)
+		answered := make(chan struct{})
+		b.deps.Statuses = delayedAnswer{m, func() { m.restore(1); learnEra(b, r, 2); close(answered) }}
+		b.writeStatus(ctx, r)
+		<-answered
+		b.deps.Statuses = m
+		if !r.statusDue(b.now()) {
+			t.Error("the lost state counts as stored")
+		}
+		b.writeStatus(ctx, r)
+		assertStates(t, m, fleet.RolloutActive, fleet.RolloutRolledBack)
+	})
+}
+
+// delayedAnswer calls a function between the write of a state and its answer.
+type delayedAnswer struct {
+	*memoryStatuses
+	between func()
+}
+
+func (d delayedAnswer) WriteStatus(ctx context.Context, service string, at fleet.Position, status fleet.Status) error {
+	err := d.memoryStatuses.WriteStatus(ctx, service, at, status)
+	d.between()
+	return err
+}
--- a/sardinegate/gate.go
+++ b/sardinegate/gate.go
@@ -181,12 +181,10 @@
 
 // heartbeat returns the state of this host that is sent to the other hosts.
 func (g *gate) heartbeat() mesh.Heartbeat {
-	operators, list := g.watcher.Positions()
-	return mesh.Heartbeat{
-		Leaving:           g.stop.Begun(),
-		Ready:             g.readyForTasks(),
-		OperatorsPosition: operators,
-		ListPosition:      list,
-		ColdUpstreams:     g.broker.Cold(),
+	hb := mesh.Heartbeat{
+		Leaving:       g.stop.Begun(),
+		Ready:         g.readyForTasks(),
+		ColdUpstreams: g.broker.Cold(),
 	}
+	return hb.WithProgress(g.watcher.Progress())
 }
--- a/sardinegate/mesh/check.go
+++ b/sardinegate/mesh/check.go
@@ -139,7 +139,10 @@
 
 func (c *checker) heartbeat(hb *Heartbeat) {
 	c.count("capacity", hb.Capacity)
-	c.require(hb.OperatorsPosition >= 0 && hb.ListPosition >= 0, "position", "is negative")
+	operators, list := hb.Progress()
+	for _, p := range []fleet.Position{operators.Position, operators.Previous, list.Position, list.Previous} {
+		c.require(p.Offset >= 0 && p.Era >= 0, "position", "is negative")
+	}
 	c.cold(hb.ColdUpstreams)
 }
 
@@ -186,6 +189,7 @@
 
 func (c *checker) span(s Span) {
 	c.require(s.From >= 0 && s.To >= s.From && s.To-s.From <= maxSpan, "span", "is not one that a host reads at once")
+	c.require(s.Era >= 0, "era", "is negative")
 	c.duration("age", s.Age)
 }
 
--- a/sardinegate/mesh/member.go
+++ b/sardinegate/mesh/member.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"sardinecross.example/lib/fleet"
 )
 
 // Member is the last known status of another host.
@@ -12,8 +14,9 @@
 	Host, DataCentre, CallerAddress string
 	Leaving, Ready                  bool
 	Capacity                        int
-	OperatorsPosition, ListPosition int64
-	boot                            int64
+	// Operators and List are how far the host knows the operators' records and the list of upstreams.
+	Operators, List fleet.Progress
+	boot            int64
 	// heardSince is when the present lifetime of the host was first heard.
 	heardSince time.Duration
 	addr       netip.AddrPort
@@ -64,7 +67,7 @@
 		changed = !newlyAlive && (member.Leaving != hb.Leaving || member.Ready != hb.Ready)
 		member.DataCentre, member.CallerAddress = hb.DataCentre, hb.CallerAddress
 		member.Leaving, member.Ready, member.Capacity = hb.Leaving, hb.Ready, hb.Capacity
-		member.OperatorsPosition, member.ListPosition = hb.OperatorsPosition, hb.ListPosition
+		member.Operators, member.List = hb.Progress()
 		member.cold, member.coldAt = hb.ColdUpstreams, now
 		if newlyAlive {
 			member.deaf = n.isUnheard(m) // until it has heard the answer below
--- a/sardinegate/mesh/message.go
+++ b/sardinegate/mesh/message.go
@@ -118,16 +118,47 @@
 	Leaving       bool   `cbor:"3,keyasint,omitempty"`
 	// Ready is set once the host serves callers and, after its start, has heard the other hosts, so that it may own services.
 	Ready bool `cbor:"4,keyasint,omitempty"`
-	// OperatorsPosition and ListPosition are the positions up to which the sender knows the operators' records and the
-	// list of upstreams.
+	// OperatorsPosition and ListPosition are the offsets of the positions up to which the sender knows the operators' records and
+	// the list of upstreams.
 	OperatorsPosition int64 `cbor:"5,keyasint,omitempty"`
 	ListPosition      int64 `cbor:"7,keyasint,omitempty"`
+	// Eras completes the positions. It is nil if the sender knows no era, and from hosts of earlier versions.
+	Eras *StoreEras `cbor:"9,keyasint,omitempty"`
 	// Capacity is the number of messages and probes a second that the sender can handle for all hosts.
 	Capacity int `cbor:"8,keyasint,omitempty"`
 	// ColdUpstreams lists the upstreams that the sender found cold.
 	ColdUpstreams []ColdUpstream `cbor:"6,keyasint,omitempty"`
 }
 
+// StoreEras holds the eras of the positions of a heartbeat, and the positions before these eras; see fleet.Progress.
+type StoreEras struct {
+	_                               struct{} `cbor:",toarray"`
+	Operators, List                 int64
+	OperatorsPrevious, ListPrevious fleet.Position
+}
+
+// WithProgress returns the heartbeat with the progress of the sender in the operators' records and in the list of upstreams.
+func (hb Heartbeat) WithProgress(operators, list fleet.Progress) Heartbeat {
+	hb.OperatorsPosition, hb.ListPosition, hb.Eras = operators.Position.Offset, list.Position.Offset, nil
+	if operators.Position.Era > 0 || list.Position.Era > 0 {
+		hb.Eras = &StoreEras{
+			Operators: operators.Position.Era, List: list.Position.Era, OperatorsPrevious: operators.Previous, ListPrevious: list.Previous,
+		}
+	}
+	return hb
+}
+
+// Progress returns the progress of the sender in the operators' records and in the list of upstreams.
+func (hb *Heartbeat) Progress() (operators, list fleet.Progress) {
+	e := StoreEras{}
+	if hb.Eras != nil {
+		e = *hb.Eras
+	}
+	operators = fleet.Progress{Position: fleet.At(e.Operators, hb.OperatorsPosition), Previous: e.OperatorsPrevious}
+	list = fleet.Progress{Position: fleet.At(e.List, hb.ListPosition), Previous: e.ListPrevious}
+	return operators, list
+}
+
 // ColdUpstream is an upstream that was found cold and the time for which it stays cold.
 type ColdUpstream struct {
 	_        struct{} `cbor:",toarray"`
@@ -141,14 +172,27 @@
 	Selection grant.Selection `cbor:"2,keyasint"`
 }
 
-// Span is the part of a stream between the positions From and To, read from the store.
+// Span is the part of a stream between the offsets From and To of an era, read from the store.
 type Span struct {
 	From int64 `cbor:"1,keyasint"`
 	To   int64 `cbor:"2,keyasint"`
 	// Age is the time since the read that confirmed To was sent.
 	Age time.Duration `cbor:"3,keyasint"`
+	// Era is 0 if it is not known, and from hosts of earlier versions.
+	Era int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// NewSpan returns the span between two positions of an era.
+func NewSpan(from, to fleet.Position, age time.Duration) Span {
+	return Span{From: from.Offset, To: to.Offset, Age: age, Era: to.Era}
 }
 
+// Start returns the position at which the span begins.
+func (s Span) Start() fleet.Position { return fleet.At(s.Era, s.From) }
+
+// End returns the position at which the span ends.
+func (s Span) End() fleet.Position { return fleet.At(s.Era, s.To) }
+
 // ListChanges holds the changes of the list of upstreams within a span.
 type ListChanges struct {
 	Span    Span           `cbor:"1,keyasint"`
--- a/sardinegate/mesh/rollout_test.go
+++ b/sardinegate/mesh/rollout_test.go
@@ -51,7 +51,7 @@
 func TestVersionIsNoPartOfTheDigest(t *testing.T) {
 	digest := func(version string) uint64 {
 		l := fleet.NewList()
-		l.Replace(0, fleet.ReadAt(0), 1, []fleet.Upstream{{ID: "u", Version: version}})
+		l.Replace(0, fleet.ReadAt(0), fleet.At(1, 1), []fleet.Upstream{{ID: "u", Version: version}})
 		return l.Digest()
 	}
 	if digest("") != digest("v2") {
--- a/sardinegate/watch/copies_test.go
+++ b/sardinegate/watch/copies_test.go
@@ -71,14 +71,14 @@
 // callTimeout is the time limit of a call to the store.
 const callTimeout = 2 * time.Second
 
-func (s outageSource) Read(ctx context.Context, stream fleet.Stream, from int64) ([]fleet.Record, int64, error) {
+func (s outageSource) Read(ctx context.Context, stream fleet.Stream, from fleet.Position) ([]fleet.Record, fleet.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	select {
 	case <-s.up:
 	default:
 		<-ctx.Done()
-		return nil, 0, io.ErrUnexpectedEOF
+		return nil, fleet.Position{}, io.ErrUnexpectedEOF
 	}
 	records, next, err := s.memorySource.Read(ctx, stream, from)
 	n := 0
@@ -86,7 +86,7 @@
 		n += len(r.Value)
 	}
 	if sendErr := s.network.send(ctx, n); sendErr != nil {
-		return nil, 0, sendErr
+		return nil, fleet.Position{}, sendErr
 	}
 	return records, next, err
 }
@@ -97,8 +97,10 @@
 	link link
 
 	mu sync.Mutex
-	// operators and list are the positions in the host's last heartbeat.
-	operators, list int64
+	// running is set from the start of the host on.
+	running bool
+	// operators and list are the progress in the host's last heartbeat.
+	operators, list fleet.Progress
 }
 
 // slowSite connects hosts whose links are slow and whose network carries no long messages.
@@ -121,7 +123,9 @@
 			continue
 		}
 		h.mu.Lock()
-		out = append(out, mesh.Member{Host: hostName(i), OperatorsPosition: h.operators, ListPosition: h.list})
+		if h.running {
+			out = append(out, mesh.Member{Host: hostName(i), Operators: h.operators, List: h.list})
+		}
 		h.mu.Unlock()
 	}
 	return out
@@ -173,6 +177,15 @@
 
 // startSlowSite starts n hosts that read s.
 func startSlowSite(t *testing.T, s fleet.Source, n int) *slowSite {
+	site := newSlowSite(s, n)
+	for i := range n {
+		site.start(t, i)
+	}
+	return site
+}
+
+// newSlowSite returns n hosts that read s, none of which runs yet.
+func newSlowSite(s fleet.Source, n int) *slowSite {
 	site := &slowSite{hosts: make([]*slowHost, n)}
 	byName := make(map[string]*slowHost)
 	for i := range n {
@@ -184,28 +197,29 @@
 		h.fetch = func(ctx context.Context, m mesh.Member) ([]byte, error) { return byName[m.Host].serveCopy(ctx) }
 		site.hosts[i], byName[hostName(i)] = h, h
 	}
+	return site
+}
+
+// start starts a host until the test ends.
+func (s *slowSite) start(t *testing.T, i int) {
+	h := s.hosts[i]
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	for i, h := range site.hosts {
-		h.Start()
-		wg.Go(func() { h.sendHeartbeats(time.Duration(i)*statusInterval/time.Duration(n), stop) })
-	}
+	h.Start()
+	wg.Go(func() { h.sendHeartbeats(time.Duration(i)*statusInterval/time.Duration(len(s.hosts)), stop) })
 	t.Cleanup(func() {
 		close(stop)
 		wg.Wait()
-		for _, h := range site.hosts {
-			h.Close()
-		}
+		h.Close()
 	})
-	return site
 }
 
 // tellPositions sends a heartbeat.
 func (h *slowHost) tellPositions() {
-	operators, list := h.Positions()
+	operators, list := h.Progress()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.operators, h.list = operators, list
+	h.running, h.operators, h.list = true, operators, list
 }
 
 // sendHeartbeats sends heartbeats until the test ends.
@@ -228,7 +242,7 @@
 		return nil, &httpc.StatusError{Status: http.StatusServiceUnavailable}
 	}
 	defer done()
-	data, err := h.encodeSnapshot()
+	data, err := h.encodeSnapshot(true)
 	if err != nil {
 		return nil, err
 	}
@@ -289,10 +303,10 @@
 	calls atomic.Int64
 }
 
-func (s *refusingSource) Read(ctx context.Context, stream fleet.Stream, from int64) ([]fleet.Record, int64, error) {
+func (s *refusingSource) Read(ctx context.Context, stream fleet.Stream, from fleet.Position) ([]fleet.Record, fleet.Position, error) {
 	s.calls.Add(1)
 	if s.down.Load() {
-		return nil, 0, io.ErrUnexpectedEOF
+		return nil, fleet.Position{}, io.ErrUnexpectedEOF
 	}
 	return s.memorySource.Read(ctx, stream, from)
 }
--- a/sardinegate/watch/follow.go
+++ b/sardinegate/watch/follow.go
@@ -34,19 +34,22 @@
 	retryRankStep = 100 * time.Millisecond
 )
 
+// noPosition is before all positions.
+var noPosition = fleet.At(0, -1)
+
 // stream describes how a watcher follows one stream of the store.
 type stream struct {
 	name string
 	id   fleet.Stream
 	// position returns the position up to which this host knows the stream. age returns the time since the read that
 	// confirmed the position was sent. Both are called without w.mu held.
-	position func() int64
+	position func() fleet.Position
 	age      func() time.Duration
 	// replace replaces what is known by the newest records of all keys as of position to. It fails with a StaleError if the
 	// known position is after it. apply applies the records between the positions from and to. The read was sent at asOf.
 	// Both are called with w.mu held.
-	replace func(asOf time.Duration, to int64, records []fleet.Record) error
-	apply   func(asOf time.Duration, from, to int64, records []fleet.Record)
+	replace func(asOf time.Duration, to fleet.Position, records []fleet.Record) error
+	apply   func(asOf time.Duration, from, to fleet.Position, records []fleet.Record)
 	// loaded reports whether the view contains the data of the stream.
 	loaded func() bool
 	// expire removes entries whose time has passed; it is called at each check of the age.
@@ -58,10 +61,16 @@
 func (w *Watcher) follow(ctx context.Context, s stream) {
 	// positionRead is set while the position comes from a read of the store. Reading can also resume at a position copied
 	// from another host, unless it is at or before deletedFrom: the records from there on were deleted.
-	positionRead, deletedFrom, failures, failedAt := false, int64(-1), 0, time.Duration(0)
+	positionRead, deletedFrom, failures, failedAt := false, noPosition, 0, time.Duration(0)
 	for ctx.Err() == nil {
 		s.expire()
-		canResume := positionRead || s.loaded() && s.position() > deletedFrom
+		position := s.position()
+		if w.awaitsCopy(position) {
+			w.copyFromHosts(ctx)
+			pause.For(ctx, ageCheckInterval)
+			continue
+		}
+		canResume := (positionRead || s.loaded() && position.After(deletedFrom)) && !w.isBehindEra(position)
 		age := s.age()
 		fresh := canResume && (age < minReadAge || age < w.readAge())
 		if fresh || failures > 0 && w.now()-failedAt < w.retryDelay(failures) {
@@ -75,12 +84,15 @@
 			err = w.readNewest(ctx, s)
 		}
 		var gap *fleet.GapError
+		var era *fleet.EraError
 		switch {
 		case err == nil:
-			positionRead, deletedFrom, failures = true, -1, 0
+			positionRead, deletedFrom, failures = true, noPosition, 0
 		case canResume && errors.As(err, &gap):
-			w.deps.Log.Info("records were deleted", "stream", s.name, "from", gap.From)
+			w.deps.Log.Info("records were deleted", "stream", s.name, "era", gap.From.Era, "from", gap.From.Offset)
 			positionRead, deletedFrom = false, gap.From
+		case errors.As(err, &era) && era.Restored():
+			// The next round reads or copies the newest records of the new era.
 		default:
 			failures++
 			failedAt = w.now()
@@ -121,17 +133,30 @@
 	return minReadAge + firstReaders*readAgeStep + time.Duration(rank-firstReaders)*step
 }
 
-// readNewest reads the newest record of each key of a stream and replaces what is known by them.
+// readNewest reads the newest record of each key of a stream and replaces what is known by them. Other hosts copy the first records
+// of an era from this one.
 func (w *Watcher) readNewest(ctx context.Context, s stream) error {
-	asOf := w.now()
+	asOf, before := w.now(), s.position()
 	records, end, err := w.deps.Source.Newest(ctx, s.id)
 	w.recordStoreCall(ctx, "newest "+s.name, err)
+	w.noteAnswer(end, err)
 	if err != nil {
 		return err
 	}
+	if err := w.locked(func() error { return s.replace(asOf, end, records) }); err != nil {
+		return err
+	}
+	if end.RestoredSince(before) {
+		w.deps.Node.SendHeartbeat()
+	}
+	return nil
+}
+
+// locked calls f with w.mu held.
+func (w *Watcher) locked(f func() error) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return s.replace(asOf, end, records)
+	return f()
 }
 
 // readChanges reads and applies the records of a stream from the known position on.
@@ -139,11 +164,13 @@
 	from, asOf := s.position(), w.now()
 	records, next, err := w.deps.Source.Read(ctx, s.id, from)
 	var gap *fleet.GapError
-	if errors.As(err, &gap) {
+	var era *fleet.EraError
+	if errors.As(err, &gap) || errors.As(err, &era) && era.Restored() {
 		w.recordStoreCall(ctx, s.name, nil) // the store answered, so the call did not fail
-		return err
+	} else {
+		w.recordStoreCall(ctx, s.name, err)
 	}
-	w.recordStoreCall(ctx, s.name, err)
+	w.noteAnswer(next, err)
 	if err != nil {
 		return err
 	}
@@ -154,22 +181,24 @@
 }
 
 // announce writes the address of this host to the store, so that other hosts find it, and reads those of the others. It
-// retries until both succeed.
-func (w *Watcher) announce(ctx context.Context) {
+// retries until both succeed and this host is among those that it has read. It returns the position of the addresses.
+func (w *Watcher) announce(ctx context.Context) fleet.Position {
 	for failures := 0; ctx.Err() == nil; failures++ {
 		err := w.deps.Source.Write(ctx, fleet.Hosts, fleet.Record{Key: w.deps.Host, Value: []byte(w.deps.IP.String())})
 		w.recordStoreCall(ctx, "announce host", err)
 		var records []fleet.Record
+		var end fleet.Position
 		if err == nil {
-			records, _, err = w.deps.Source.Newest(ctx, fleet.Hosts)
+			records, end, err = w.deps.Source.Newest(ctx, fleet.Hosts)
 			w.recordStoreCall(ctx, "hosts", err)
 		}
-		if err == nil {
+		if err == nil && slices.ContainsFunc(records, func(r fleet.Record) bool { return r.Key == w.deps.Host }) {
 			w.addHosts(records)
-			return
+			return end
 		}
 		pause.For(ctx, w.retryDelay(failures+1))
 	}
+	return fleet.Position{}
 }
 
 // addHosts adds the addresses in records of the stream Hosts to the node and sends a heartbeat to all hosts.
--- a/sardinegate/watch/model_test.go
+++ b/sardinegate/watch/model_test.go
@@ -164,13 +164,13 @@
 	b *bus
 }
 
-func (s slowSource) Read(ctx context.Context, stream fleet.Stream, from int64) ([]fleet.Record, int64, error) {
+func (s slowSource) Read(ctx context.Context, stream fleet.Stream, from fleet.Position) ([]fleet.Record, fleet.Position, error) {
 	s.wait()
 	defer s.wait()
 	return s.memorySource.Read(ctx, stream, from)
 }
 
-func (s slowSource) Newest(ctx context.Context, stream fleet.Stream) ([]fleet.Record, int64, error) {
+func (s slowSource) Newest(ctx context.Context, stream fleet.Stream) ([]fleet.Record, fleet.Position, error) {
 	s.wait()
 	defer s.wait()
 	return s.memorySource.Newest(ctx, stream)
@@ -220,15 +220,15 @@
 	if !w.view.Load().Listed {
 		return
 	}
-	want := states[w.list.Offset]
+	want := states[w.list.Position.Offset]
 	for id, u := range want {
 		if got, ok := w.list.Get(id); !ok || !got.EqualForRouting(u) && got.ReportNumber <= u.ReportNumber {
-			t.Fatalf("host %s at position %d lists %+v (listed: %t), the store held %+v there", host, w.list.Offset, got, ok, u)
+			t.Fatalf("host %s at position %d lists %+v (listed: %t), the store held %+v there", host, w.list.Position.Offset, got, ok, u)
 		}
 	}
 	for _, u := range w.list.Entries() {
 		if _, ok := want[u.ID]; !ok {
-			t.Fatalf("host %s at position %d lists upstream %s, which the store had removed", host, w.list.Offset, u.ID)
+			t.Fatalf("host %s at position %d lists upstream %s, which the store had removed", host, w.list.Position.Offset, u.ID)
 		}
 	}
 }
@@ -285,8 +285,8 @@
 					states = appendRecordedStates(s, states)
 					for host, w := range b.hosts() {
 						assertListAsRecorded(t, host, w, states)
-						if _, position := w.Positions(); time.Since(restarted) > maxAge/4 && time.Since(start) > maxAge && position < ends[time.Since(start)-maxAge] {
-							t.Fatalf("host %s is at position %d, which is more than %v old", host, position, maxAge)
+						if _, list := w.Progress(); time.Since(restarted) > maxAge/4 && time.Since(start) > maxAge && list.Position.Offset < ends[time.Since(start)-maxAge] {
+							t.Fatalf("host %s is at position %d, which is more than %v old", host, list.Position.Offset, maxAge)
 						}
 					}
 				}
@@ -343,7 +343,7 @@
 	s.hook = hook
 }
 
-func (s *hookedSource) Read(ctx context.Context, stream fleet.Stream, from int64) ([]fleet.Record, int64, error) {
+func (s *hookedSource) Read(ctx context.Context, stream fleet.Stream, from fleet.Position) ([]fleet.Record, fleet.Position, error) {
 	records, next, err := s.memorySource.Read(ctx, stream, from)
 	if stream != fleet.Upstreams || len(records) == 0 {
 		return records, next, err
--- a/sardinegate/watch/outage.go
+++ b/sardinegate/watch/outage.go
@@ -30,7 +30,7 @@
 			w.expireLapsed()
 		}
 	case known.First+fleet.OutageGap < reads.First && both.First == known.First && w.tellsReads(host):
-		w.deps.Node.Send(host, &mesh.Message{ListChanges: w.listSpan(known.Last, w.list.Offset, w.list.Offset, nil)})
+		w.deps.Node.Send(host, &mesh.Message{ListChanges: w.listSpan(known.Last, w.list.Position, w.list.Position, nil)})
 	}
 }
 
--- a/sardinegate/watch/outage_test.go
+++ b/sardinegate/watch/outage_test.go
@@ -30,7 +30,7 @@
 	hang time.Duration
 }
 
-func (s cutSource) Read(ctx context.Context, stream fleet.Stream, from int64) ([]fleet.Record, int64, error) {
+func (s cutSource) Read(ctx context.Context, stream fleet.Stream, from fleet.Position) ([]fleet.Record, fleet.Position, error) {
 	if s.cut.Load() {
 		time.Sleep(s.hang)
 		return nil, from, io.ErrUnexpectedEOF
--- a/sardinegate/watch/peers.go
+++ b/sardinegate/watch/peers.go
@@ -22,8 +22,10 @@
 	// snapshotTimeout bounds the transfer of a snapshot from another host, maxSnapshotBytes its size in bytes.
 	snapshotTimeout  = time.Second
 	maxSnapshotBytes = 8 << 20
-	// snapshotPath is the path at which a host serves its snapshot.
-	snapshotPath = "/knowledge"
+	// snapshotPath is the path at which a host serves its snapshot, and snapshotQuery asks for one with eras. Hosts of earlier
+	// releases neither send the query nor know it.
+	snapshotPath  = "/knowledge"
+	snapshotQuery = "version=2"
 	// maxServed is the number of snapshots that a host serves at the same time. It refuses further ones, so that the one that it
 	// serves arrives soon and its receiver serves others: the number of hosts that have a change doubles with each transfer.
 	maxServed = 1
@@ -33,15 +35,35 @@
 	catchUpInterval = 50 * time.Millisecond
 )
 
-// storeSnapshot holds what a host knows from the store. Hosts that cannot read the store copy it.
+// storeSnapshot holds what a host knows from the store. Hosts that cannot read the store copy it. Hosts of earlier releases know the
+// first five fields, without eras.
 type storeSnapshot struct {
 	OperatorsPosition int64          `cbor:"1,keyasint"`
 	OperatorRecords   []fleet.Record `cbor:"2,keyasint,omitempty"`
-	// OperatorsAge is the time since the read that confirmed OperatorsPosition was sent.
+	// OperatorsAge is the time since the read that confirmed the position of the operators' records was sent.
 	OperatorsAge time.Duration `cbor:"3,keyasint"`
 	// List is meaningful only if Listed is set.
 	List   fleet.Snapshot `cbor:"4,keyasint"`
 	Listed bool           `cbor:"5,keyasint,omitempty"`
+	// Operators replaces OperatorsPosition and OperatorRecords.
+	Operators *fleet.OperatorSnapshot `cbor:"6,keyasint,omitempty"`
+}
+
+// withoutEras returns the snapshot for a host of an earlier release.
+func (s storeSnapshot) withoutEras() storeSnapshot {
+	s.OperatorsPosition, s.OperatorRecords = s.Operators.Progress.Position.Offset, s.Operators.InForce
+	s.Operators = nil
+	s.List = s.List.WithoutEra()
+	return s
+}
+
+// operators returns the operators' records. Those of a host of an earlier release are of an unknown era.
+func (s storeSnapshot) operators() fleet.OperatorSnapshot {
+	if s.Operators != nil {
+		return *s.Operators
+	}
+	position := fleet.At(0, s.OperatorsPosition)
+	return fleet.OperatorSnapshot{Progress: fleet.Progress{Position: position}, InForce: s.OperatorRecords}
 }
 
 var (
@@ -61,7 +83,7 @@
 		return
 	}
 	defer done()
-	data, err := w.encodeSnapshot()
+	data, err := w.encodeSnapshot(r.URL.RawQuery == snapshotQuery)
 	if err != nil {
 		w.deps.Log.Error("knowledge not encoded", "error", err)
 		http.Error(rw, err.Error(), http.StatusInternalServerError)
@@ -81,19 +103,21 @@
 	}
 }
 
-// encodeSnapshot returns the encoded snapshot of this host.
-func (w *Watcher) encodeSnapshot() ([]byte, error) {
+// encodeSnapshot returns the encoded snapshot of this host, with eras or for a host of an earlier release.
+func (w *Watcher) encodeSnapshot(eras bool) ([]byte, error) {
 	w.mu.Lock()
+	now := w.now()
+	operators := w.operators.Snapshot(now)
 	snapshot := storeSnapshot{
-		OperatorsPosition: w.operatorsPosition,
-		OperatorsAge:      w.now() - w.operatorsAsOf,
-		List:              w.list.Snapshot(w.now()),
-		Listed:            w.view.Load().Listed,
-	}
-	for _, record := range w.operatorRecords {
-		snapshot.OperatorRecords = append(snapshot.OperatorRecords, record)
+		OperatorsAge: now - w.operatorsAsOf,
+		List:         w.list.Snapshot(now),
+		Listed:       w.view.Load().Listed,
+		Operators:    &operators,
 	}
 	w.mu.Unlock()
+	if !eras {
+		snapshot = snapshot.withoutEras()
+	}
 	return snapshotEncoder.Marshal(snapshot)
 }
 
@@ -104,7 +128,7 @@
 		return nil, err
 	}
 	defer done()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+snapshotPath, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+snapshotPath+"?"+snapshotQuery, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -127,21 +151,39 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if snapshot.OperatorsPosition > w.operatorsPosition {
-		if err := w.replaceOperatorRecords(requestedAt-snapshot.OperatorsAge, snapshot.OperatorsPosition, snapshot.OperatorRecords); err != nil {
-			return err
-		}
-		w.deps.Log.Info("operators' records taken from a host", "host", m.Host, "position", snapshot.OperatorsPosition)
-	}
-	if snapshot.Listed && (!w.view.Load().Listed || snapshot.List.Offset > w.list.Offset) {
+	if snapshot.Listed {
 		snapshot.List.Age += w.now() - requestedAt
-		w.list.Restore(w.now(), snapshot.List)
-		w.publishList()
-		w.deps.Log.Info("upstreams taken from a host", "host", m.Host, "position", w.list.Offset)
+		w.takeList(m.Host, snapshot.List)
+	}
+	return w.takeOperatorRecords(m.Host, requestedAt-snapshot.OperatorsAge, snapshot.operators())
+}
+
+// takeOperatorRecords takes over the operators' records of another host if it is ahead. w.mu must be held.
+func (w *Watcher) takeOperatorRecords(host string, asOf time.Duration, s fleet.OperatorSnapshot) error {
+	if !s.Progress.AheadOf(w.operators.Progress) {
+		return nil
 	}
+	if err := w.copyOperatorRecords(asOf, s); err != nil {
+		return err
+	}
+	p := w.operators.Progress
+	w.deps.Log.Info("operators' records taken from a host", "host", host, "era", p.Position.Era, "position", p.Position.Offset,
+		"previousEra", p.Previous.Era, "previous", p.Previous.Offset)
 	return nil
 }
 
+// takeList takes over the list of upstreams of another host if it is ahead, or if this host has none. w.mu must be held.
+func (w *Watcher) takeList(host string, s fleet.Snapshot) {
+	if w.view.Load().Listed && !s.Progress().AheadOf(w.list.Progress) {
+		return
+	}
+	w.list.Restore(w.now(), s)
+	w.publishList()
+	p := w.list.Progress
+	w.deps.Log.Info("upstreams taken from a host", "host", host, "era", p.Position.Era, "position", p.Position.Offset,
+		"previousEra", p.Previous.Era, "previous", p.Previous.Offset)
+}
+
 // copyFromHosts copies from live hosts that are ahead of this one in a stream until none is.
 func (w *Watcher) copyFromHosts(ctx context.Context) {
 	if !w.copying.TryLock() {
@@ -175,15 +217,22 @@
 
 // isAhead reports whether a host is ahead of this one in a stream.
 func (w *Watcher) isAhead(m mesh.Member) bool {
-	operators, list := w.Positions()
-	return m.OperatorsPosition > operators || m.ListPosition > list
+	operators, list := w.Progress()
+	return m.Operators.AheadOf(operators) || m.List.AheadOf(list)
+}
+
+// knowsEraBefore reports whether a host knows more of the era before the present one than this host, in a stream.
+func (w *Watcher) knowsEraBefore(m mesh.Member) bool {
+	operators, list := w.Progress()
+	return m.Operators.Previous.After(operators.Previous) || m.List.Previous.After(list.Previous)
 }
 
-// catchUp copies from hosts that are ahead while neither messages nor reads of the store renew what this host knows. A read that hangs
-// ends only at its time limit.
+// catchUp copies from hosts that are ahead while neither messages nor reads of the store renew what this host knows, or if they know
+// records that the store has lost. A read that hangs ends only at its time limit.
 func (w *Watcher) catchUp(ctx context.Context) {
 	for pause.For(ctx, catchUpInterval) {
-		if operators, list := w.Ages(); max(operators, list) > staleAge {
+		operators, list := w.Ages()
+		if max(operators, list) > staleAge || w.learnsOfEraBefore() && slices.ContainsFunc(w.deps.Node.Alive(), w.knowsEraBefore) {
 			w.copyFromHosts(ctx)
 		}
 	}
--- a/sardinegate/watch/peers_test.go
+++ b/sardinegate/watch/peers_test.go
@@ -72,10 +72,48 @@
 func TestKeysInRecordsOfOtherHostsAreHidden(t *testing.T) {
 	w := New(Deps{Source: newMemorySource(), Log: slog.New(slog.DiscardHandler), OnViewChange: func(*fleet.View) {}})
 	w.mu.Lock()
-	w.applyOperatorRecords(0, 0, 1, []fleet.Record{{Key: "record", Value: []byte("secret")}})
+	w.applyOperatorSpan(0, fleet.At(0, 0), fleet.At(0, 1), []fleet.Record{{Key: "record", Value: []byte("secret")}})
 	w.mu.Unlock()
-	data, err := w.encodeSnapshot()
+	data, err := w.encodeSnapshot(true)
 	if err != nil || bytes.Contains(data, []byte("secret")) || !bytes.Contains(data, []byte("hidden")) {
 		t.Errorf("the host passes on %q (%v), want hidden in place of secret", data, err)
 	}
 }
+
+// Guards against a snapshot that hosts of the previous release cannot decode, as they know no eras and refuse unknown fields.
+func TestSnapshotForThePreviousRelease(t *testing.T) {
+	type earlierSnapshot struct {
+		OperatorsPosition int64          `cbor:"1,keyasint"`
+		OperatorRecords   []fleet.Record `cbor:"2,keyasint,omitempty"`
+		OperatorsAge      time.Duration  `cbor:"3,keyasint"`
+		List              struct {
+			Offset   int64             `cbor:"1,keyasint"`
+			Age      time.Duration     `cbor:"2,keyasint"`
+			Recorded []fleet.Upstream  `cbor:"3,keyasint,omitempty"`
+			Kept     []fleet.KeptEntry `cbor:"4,keyasint,omitempty"`
+		} `cbor:"4,keyasint"`
+		Listed bool `cbor:"5,keyasint,omitempty"`
+	}
+	s := newEraSource()
+	w := startWatcher(t, s.memorySource)
+	eventually(t, "the first view", w.complete)
+	s.put(fleet.Operators, "passau", true)
+	s.put(fleet.Upstreams, "a", nil)
+	eventually(t, "the changes", func() bool { return isOut("passau")(w.View()) && usesOnly("b")(w.View()) })
+	s.restore(fleet.Operators, 1)
+	s.restore(fleet.Upstreams, 1)
+	eventually(t, "the next era", func() bool { _, list := w.Progress(); return list.Position.Era == 3 })
+	get := func(target string) []byte {
+		rec := httptest.NewRecorder()
+		w.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, target, nil))
+		return rec.Body.Bytes()
+	}
+	var earlier earlierSnapshot
+	if err := snapshotDecoder.Unmarshal(get(snapshotPath), &earlier); err != nil || earlier.OperatorsPosition != 1 || len(earlier.OperatorRecords) != 2 {
+		t.Errorf("the previous release decodes %+v, error %v, want position 1 and both records", earlier, err)
+	}
+	var snapshot storeSnapshot
+	if err := snapshotDecoder.Unmarshal(get(snapshotPath+"?"+snapshotQuery), &snapshot); err != nil || snapshot.List.Era != 3 || len(snapshot.List.Removed) != 1 {
+		t.Errorf("this release decodes %+v, error %v, want era 3 and the removed upstream", snapshot, err)
+	}
+}
--- a/sardinegate/watch/watch.go
+++ b/sardinegate/watch/watch.go
@@ -64,15 +64,15 @@
 	// SpansBeyondGap counts the spans from other hosts that begin after this host's position. ListDifferences counts those
 	// after which this host's list of upstreams differed from the sender's.
 	SpansBeyondGap, ListDifferences atomic.Int64
+	// StoreRestores counts how often this host learnt that the store was restored from a copy.
+	StoreRestores atomic.Int64
 
 	mu   sync.Mutex
 	list *fleet.List
-	// operatorsPosition is the known position in the operators' records, confirmed by a read that was sent at
-	// operatorsAsOf.
-	operatorsPosition int64
-	operatorsAsOf     time.Duration
-	// operatorRecords holds the newest operators' record of each key, for hosts that cannot read the store.
-	operatorRecords map[string]fleet.Record
+	// operators holds the operators' records. Their position was confirmed by a read that was sent at operatorsAsOf.
+	operators     *fleet.OperatorRecords
+	operatorsAsOf time.Duration
+	era           knownEra
 	// storeDown is set from a failed call to the store until the next that succeeds.
 	storeDown bool
 }
@@ -81,9 +81,9 @@
 func New(deps Deps) *Watcher {
 	w := &Watcher{
 		deps: deps, start: time.Now(), hostClient: httpc.New(1),
-		list: fleet.NewList(), operatorRecords: make(map[string]fleet.Record),
-		serving: make(chan struct{}, maxServed),
+		list: fleet.NewList(), serving: make(chan struct{}, maxServed),
 	}
+	w.operators = fleet.NewOperatorRecords(w.removeOperatorRecord)
 	w.fetch = func(ctx context.Context, m mesh.Member) ([]byte, error) { return w.requestSnapshot(ctx, m.Address()) }
 	w.view.Store(&fleet.View{})
 	return w
@@ -95,7 +95,7 @@
 	w.stop = cancel
 	w.done.Go(func() { w.follow(ctx, w.operatorStream()) })
 	w.done.Go(func() { w.follow(ctx, w.upstreamStream()) })
-	w.done.Go(func() { w.announce(ctx) })
+	w.done.Go(func() { w.announceInEachEra(ctx) })
 	w.done.Go(func() { w.join(ctx) })
 	w.done.Go(func() { w.catchUp(ctx) })
 }
@@ -110,11 +110,11 @@
 // View returns the current view.
 func (w *Watcher) View() *fleet.View { return w.view.Load() }
 
-// Positions returns the positions up to which this host knows the operators' records and the list of upstreams.
-func (w *Watcher) Positions() (operators, list int64) {
+// Progress returns how far this host knows the operators' records and the list of upstreams.
+func (w *Watcher) Progress() (operators, list fleet.Progress) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.operatorsPosition, w.list.Offset
+	return w.operators.Progress, w.list.Progress
 }
 
 // Ages returns the times since the reads that confirmed the operators' records and the list of upstreams were sent.
@@ -128,23 +128,25 @@
 // now returns the time since the watcher was created.
 func (w *Watcher) now() time.Duration { return time.Since(w.start) }
 
-// Handle applies the spans of the store that another host has read and sent. It ignores all other messages.
+// Handle applies the spans of the store that another host has read and sent. It ignores all other messages, but for the eras of
+// the store that they tell.
 func (w *Watcher) Handle(m *mesh.Message) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.learnEra(m)
 	v := w.view.Load()
-	if l := m.ListChanges; l != nil && v.Listed {
+	if l := m.ListChanges; l != nil && v.Listed && l.Span.Era == w.list.Position.Era {
 		w.handleListChanges(m.From, l)
 	}
-	if o := m.OperatorRecords; o != nil && v.Routes != nil {
-		w.countGap(o.Span, w.operatorsPosition)
-		w.applyOperatorRecords(w.now()-o.Span.Age, o.Span.From, o.Span.To, o.Records)
+	if o := m.OperatorRecords; o != nil && v.Routes != nil && o.Span.Era == w.operators.Position.Era {
+		w.countGap(o.Span, w.operators.Position)
+		w.applyOperatorSpan(w.now()-o.Span.Age, o.Span.Start(), o.Span.End(), o.Records)
 	}
 }
 
 // countGap counts a span that begins after the position that this host knows.
-func (w *Watcher) countGap(s mesh.Span, position int64) {
-	if s.From > position {
+func (w *Watcher) countGap(s mesh.Span, position fleet.Position) {
+	if s.Start().After(position) {
 		w.SpansBeyondGap.Add(1)
 	}
 }
@@ -165,14 +167,16 @@
 	w.mu.Lock()
 	wasDown := w.storeDown
 	w.storeDown = err != nil
+	operators, list := w.operators.Position, w.list.Position
 	w.mu.Unlock()
+	log := w.deps.Log.With("call", call, "era", operators.Era, "operatorsOffset", operators.Offset, "listEra", list.Era, "listOffset", list.Offset)
 	switch {
 	case err != nil:
 		w.FailedStoreCalls.Add(1)
 		if !wasDown {
-			w.deps.Log.Warn("store lost", "call", call, "error", err)
+			log.Warn("store lost", "error", err)
 		}
 	case wasDown:
-		w.deps.Log.Info("store regained", "call", call)
+		log.Info("store regained")
 	}
 }
--- a/sardinegate/watch/watch_test.go
+++ b/sardinegate/watch/watch_test.go
@@ -25,6 +25,8 @@
 	records   map[fleet.Stream][]fleet.Record
 	firstKept map[fleet.Stream]int64
 	broken    bool
+	// era is the era of the store, 0 if it tells none.
+	era int64
 }
 
 func newMemorySource() *memorySource {
@@ -48,24 +50,27 @@
 	change()
 }
 
-func (s *memorySource) Read(_ context.Context, stream fleet.Stream, from int64) ([]fleet.Record, int64, error) {
+func (s *memorySource) Read(_ context.Context, stream fleet.Stream, from fleet.Position) ([]fleet.Record, fleet.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.broken {
 		return nil, from, io.ErrUnexpectedEOF
 	}
-	if from < s.firstKept[stream] {
-		return nil, from, &fleet.GapError{From: from}
+	if s.era != from.Era {
+		return nil, from, &fleet.EraError{Have: from.Era, Got: s.era}
 	}
 	all := s.records[stream]
-	return all[from:], int64(len(all)), nil
+	if from.Offset < s.firstKept[stream] || from.Offset > int64(len(all)) {
+		return nil, from, &fleet.GapError{From: from}
+	}
+	return all[from.Offset:], fleet.At(s.era, int64(len(all))), nil
 }
 
-func (s *memorySource) Newest(_ context.Context, stream fleet.Stream) ([]fleet.Record, int64, error) {
+func (s *memorySource) Newest(_ context.Context, stream fleet.Stream) ([]fleet.Record, fleet.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.broken {
-		return nil, 0, io.ErrUnexpectedEOF
+		return nil, fleet.Position{}, io.ErrUnexpectedEOF
 	}
 	newest := map[string]fleet.Record{}
 	for _, r := range s.records[stream] {
@@ -78,7 +83,7 @@
 	for _, r := range newest {
 		out = append(out, r)
 	}
-	return out, int64(len(s.records[stream])), nil
+	return out, fleet.At(s.era, int64(len(s.records[stream]))), nil
 }
 
 func (s *memorySource) Write(_ context.Context, stream fleet.Stream, r fleet.Record) error {
@@ -201,8 +206,8 @@
 	s.put(fleet.Upstreams, "a", nil)
 	s.put(fleet.Upstreams, "b", nil)
 	s.locked(func() { s.broken = false })
-	_, before := w.Positions()
-	eventually(t, "a read after the outage", func() bool { _, now := w.Positions(); return now > before })
+	_, before := w.Progress()
+	eventually(t, "a read after the outage", func() bool { _, now := w.Progress(); return now.Position.After(before.Position) })
 	if n := len(w.View().Upstreams); n != 2 {
 		t.Fatalf("%d upstreams right after the outage, want 2", n)
 	}
@@ -228,8 +233,8 @@
 		t.Fatalf("version %d in force after a span beyond a gap, want 1", v)
 	}
 	w.Handle(span(1, 4, "7"))
-	if p, _ := w.Positions(); p != 1 || version(w) != 1 {
-		t.Fatalf("at position %d with version %d after a span of 3 positions with 1 record, want 1 and 1", p, version(w))
+	if p, _ := w.Progress(); p.Position.Offset != 1 || version(w) != 1 {
+		t.Fatalf("at position %v with version %d after a span of 3 positions with 1 record, want 1 and 1", p.Position, version(w))
 	}
 	w.Handle(span(1, 2, "8"))
 	if v := version(w); v != 8 {
