--- a/lib/explain/explain.go
+++ b/lib/explain/explain.go
@@ -8,7 +8,9 @@
 	Stopping bool   `json:"stopping,omitempty"`
 	// Configuration is nil if the host has none, or doesn't serve callers yet.
 	Configuration *Configuration `json:"configuration,omitempty"`
-	Route         string         `json:"route,omitempty"`
+	// List is how far the host has read the list of upstreams; nil like Configuration.
+	List  *Position `json:"list,omitempty"`
+	Route string    `json:"route,omitempty"`
 	// Service is the service that the answer is for: the one with the greatest share of Split.
 	Service   string  `json:"service,omitempty"`
 	Split     []Share `json:"split,omitempty"`
@@ -26,10 +28,18 @@
 	Rejection *Rejection `json:"rejection,omitempty"`
 }
 
-// Configuration is the configuration in force.
+// Configuration is the configuration in force. Hosts of earlier releases tell no position.
 type Configuration struct {
-	Version int64 `json:"version"`
-	AgeMs   int64 `json:"ageMs"`
+	Version  int64     `json:"version"`
+	AgeMs    int64     `json:"ageMs"`
+	Position *Position `json:"position,omitempty"`
+}
+
+// Position is how far a host has read a stream of the store.
+type Position struct {
+	// Era rises when the store is restored from a copy; 0 if the store does not tell it. Offset counts the records in an era.
+	Era    int64 `json:"era"`
+	Offset int64 `json:"offset"`
 }
 
 // Share is the share of a service in the requests on a route.
--- a/sardinectl/explain.go
+++ b/sardinectl/explain.go
@@ -163,7 +163,7 @@
 	if c := a.Configuration; c == nil {
 		line("configuration", "none in force")
 	} else {
-		line("configuration", "version %d, confirmed %d ms ago", c.Version, c.AgeMs)
+		line("configuration", "version %d, confirmed %d ms ago%s", c.Version, c.AgeMs, positionText(c.Position))
 	}
 	if a.Route != "" {
 		line("route", "%s", a.Route)
@@ -181,7 +181,7 @@
 	if s := a.Selection; s != nil {
 		line("owner", "%s", ownerText(s))
 		line("queue", "%d waiting, expected wait %d ms", s.Waiting, s.ExpectedWaitMs)
-		line("upstreams", "%d listed, %d not shown%s", s.Upstreams, s.LeftOut, passedOverText(s.PassedOver))
+		line("upstreams", "%d listed, %d not shown%s%s", s.Upstreams, s.LeftOut, passedOverText(s.PassedOver), positionText(a.List))
 	}
 	_ = w.Flush() // a strings.Builder accepts everything
 	if a.Selection != nil && len(a.Selection.Candidates) > 0 {
@@ -191,6 +191,14 @@
 	return b.String()
 }
 
+// positionText returns a position in the store as an addition to a line, empty if it is not known.
+func positionText(p *explain.Position) string {
+	if p == nil {
+		return ""
+	}
+	return fmt.Sprintf(", era %d, offset %d", p.Era, p.Offset)
+}
+
 func resultText(a *explain.Answer) string {
 	switch r := a.Rejection; {
 	case r != nil && r.RetryAfterMs > 0:
--- a/sardinectl/explain_test.go
+++ b/sardinectl/explain_test.go
@@ -26,7 +26,8 @@
 func TestExplain(t *testing.T) {
 	const key = "k-secret"
 	answer := &explain.Answer{
-		Host: "h", Configuration: &explain.Configuration{Version: 7, AgeMs: 12}, Route: "r", Service: "s", KeyNeeded: true, Organisation: "o",
+		Host: "h", Configuration: &explain.Configuration{Version: 7, AgeMs: 12, Position: &explain.Position{Era: 2, Offset: 70}},
+		List: &explain.Position{Era: 2, Offset: 90}, Route: "r", Service: "s", KeyNeeded: true, Organisation: "o",
 		Split:     []explain.Share{{Service: "s", Share: 0.75}, {Service: "t", Share: 0.25}},
 		Class:     &explain.Class{Priority: 2, Kind: "once", MaxAttempts: 3, TargetMs: 600, DeadlineMs: 2000},
 		Allowance: &explain.Allowance{RatePerS: 5, Burst: 10, Owner: "p", State: explain.Rejected, DecidedAs: "owner", RetryAfterMs: 250},
@@ -53,7 +54,7 @@
 	valid := append([]string{"-address", address, "-header", "Deadline-Ms: 5", "-key-file", keyFile}, request...)
 	_, text := runExplain(t, valid...)
 	for _, part := range []string{
-		"rejected with 429: allowance exceeded, retry after 250 ms", "version 7, confirmed 12 ms ago", "s 75%, t 25%", "organisation o", "priority 2, once, at most 3",
+		"rejected with 429: allowance exceeded, retry after 250 ms", "version 7, confirmed 12 ms ago, era 2, offset 70", "passed over: cold 1, era 2, offset 90", "s 75%, t 25%", "organisation o", "priority 2, once, at most 3",
 		"retried only if it has not run", "target 600 ms, deadline 2000 ms", "5/s, burst 10, owner p", "view of h alone: the owner did not answer",
 		"4 waiting, expected wait 33 ms", "passed over: cold 1", "45 ms", "1 of 8", "cold\n",
 	} {
--- a/sardinegate/entry/explain.go
+++ b/sardinegate/entry/explain.go
@@ -26,7 +26,9 @@
 		Explain(o *orgs.Organisation, late bool) *explain.Allowance
 	}
 	ConfigurationAge func() time.Duration
-	Stopping         func() bool
+	// Progress returns how far the host knows the operators' records and the list of upstreams.
+	Progress func() (operators, list fleet.Progress)
+	Stopping func() bool
 }
 
 // Explain returns where a request would go now, and why. It follows Handler.ServeHTTP without the body, and changes nothing.
@@ -36,7 +38,11 @@
 	a := &explain.Answer{Host: x.Host, Stopping: x.Stopping()}
 	refused := h.admitWith(c, h.timeLimits.peek)
 	if t := c.view.Routes; t != nil {
-		a.Configuration = &explain.Configuration{Version: t.Version, AgeMs: x.ConfigurationAge().Milliseconds()}
+		operators, list := x.Progress()
+		a.Configuration = &explain.Configuration{
+			Version: t.Version, AgeMs: x.ConfigurationAge().Milliseconds(), Position: explainedPosition(operators),
+		}
+		a.List = explainedPosition(list)
 		if rt, ok := t.Match(r.Host, r.URL.EscapedPath()); ok {
 			a.Route, a.KeyNeeded = rt.Name, t.Organisations != nil && !rt.Public
 			a.Service, a.Split = shares(rt)
@@ -134,3 +140,8 @@
 	}
 	return &explain.Rejection{Status: o.status, Reason: o.reason, RetryAfterMs: after.Milliseconds()}
 }
+
+// explainedPosition returns the position of a host in a stream.
+func explainedPosition(p fleet.Progress) *explain.Position {
+	return &explain.Position{Era: p.Position.Era, Offset: p.Position.Offset}
+}
--- a/sardinegate/entry/explain_test.go
+++ b/sardinegate/entry/explain_test.go
@@ -89,6 +89,9 @@
 			x := &Explainer{
 				Host: "h", Handler: f.Handler, Upstreams: explainer, Allowances: allowances,
 				ConfigurationAge: func() time.Duration { return time.Second }, Stopping: f.stop.Begun,
+				Progress: func() (operators, list fleet.Progress) {
+					return fleet.Progress{Position: fleet.At(2, 7)}, fleet.Progress{Position: fleet.At(2, 9)}
+				},
 			}
 			r := httptest.NewRequest(http.MethodPost, "http://a.example"+c.path, nil)
 			for i, h := 0, append([]string{"Id", "1", "Left", "1s", "Key", c.key}, c.header...); i < len(h); i += 2 {
--- a/sardinegate/explain.go
+++ b/sardinegate/explain.go
@@ -15,6 +15,7 @@
 	x := &entry.Explainer{
 		Host: g.settings.Host, Handler: h, Upstreams: g.broker, Allowances: g.quota,
 		ConfigurationAge: func() time.Duration { age, _ := g.watcher.Ages(); return age }, Stopping: g.stop.Begun,
+		Progress: g.watcher.Progress,
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method != http.MethodGet {
--- a/sardinegate/metrics.go
+++ b/sardinegate/metrics.go
@@ -16,6 +16,10 @@
 		{Name: "store_calls_failed_total", Read: count(&g.watcher.FailedStoreCalls)},
 		{Name: "spans_beyond_gap_total", Read: count(&g.watcher.SpansBeyondGap)},
 		{Name: "list_differences_total", Read: count(&g.watcher.ListDifferences)},
+		{Name: "store_restores_total", Read: count(&g.watcher.StoreRestores)},
+		{Name: "store_era", Read: func() float64 { p, _ := g.watcher.Progress(); return float64(p.Position.Era) }},
+		{Name: "configuration_offset", Read: func() float64 { p, _ := g.watcher.Progress(); return float64(p.Position.Offset) }},
+		{Name: "upstream_list_offset", Read: func() float64 { _, p := g.watcher.Progress(); return float64(p.Position.Offset) }},
 		{Name: "upstream_list_age_seconds", Read: func() float64 { _, age := g.watcher.Ages(); return age.Seconds() }},
 		{Name: "configuration_age_seconds", Read: func() float64 { age, _ := g.watcher.Ages(); return age.Seconds() }},
 		{Name: "configuration_version", Read: func() float64 {
