proofs, soak, watch: Play a store that is restored from a copy

Cause: no test through real processes restored the store, and the soak drew no such event. A final state of an order may be written again after a restore, and only the same one. In watch, a host that was told of an era that its own store does not answer pauses between its calls; a host that starts takes over which entries may have lapsed; an entry that is listed again is no longer remembered as removed.

--- a/lib/fleet/list.go
+++ b/lib/fleet/list.go
@@ -107,6 +107,7 @@
 		}
 		l.entries[c.ID] = *c.Upstream
 		delete(l.lapsing, c.ID)
+		delete(l.removals.byID, c.ID)
 		return
 	}
 	if _, ok := l.entries[c.ID]; ok && l.Reads.keepsLapsed(now) {
@@ -252,13 +253,14 @@
 
 // Restore takes over a snapshot of another host. If that host is not behind, its list replaces this one: entries missing from it are
 // removed, those that may have lapsed later. A list that was read or copied before is changed as the reads known to this host show;
-// else the other host's judgement of lapses holds. Of a host that is behind, only what it knew before the store was restored is
-// taken over.
+// else, and if the other host knew more before the store was restored, its judgement of lapses holds. Of a host that is behind, only
+// what it knew before the restore is taken over.
 func (l *List) Restore(now time.Duration, s Snapshot) {
-	first, to := !l.Reads.any, s.Progress()
+	to := s.Progress()
 	if to.Position.Era < l.Position.Era {
 		return
 	}
+	knewLess := !l.Reads.any || to.Position.Era == l.Position.Era && to.Previous.After(l.Previous)
 	reads := ReadAt(now - s.Age)
 	if to.Position.RestoredSince(l.Position) {
 		l.beginEra(now, reads)
@@ -279,7 +281,7 @@
 		if _, listed := l.entries[k.Upstream.ID]; listed || l.removals.guards(now, &k.Upstream) {
 			continue
 		}
-		if first {
+		if knewLess {
 			l.Reads = l.Reads.withOutageUntil(now + k.Left - relistTime - relistReadTime)
 		}
 		l.entries[k.Upstream.ID] = k.Upstream
--- a/proofs/soak/check.go
+++ b/proofs/soak/check.go
@@ -278,14 +278,16 @@
 		want = "rolled_back"
 	}
 	writable := !c.disrupted(o.At, end, func(d Span) bool { return d.Upstream == "" && (d.Host == "" || d.Store) })
-	final := ""
+	final, finalAt := "", time.Time{}
 	for _, s := range c.States {
 		switch {
 		case s.Service != o.Service || s.Version != o.Version:
+		case s.State == final && c.restored(finalAt, s.At): // it was lost with the copy
+			finalAt = s.At
 		case final != "":
 			c.report(Status, o.Service, "%s was written after %s", s.State, final)
 		case s.State == "complete" || s.State == "rolled_back":
-			final = s.State
+			final, finalAt = s.State, s.At
 			if writable && s.At.After(end) {
 				c.report(Status, o.Service, "%s was written %v after the order of %v", final, s.At.Sub(o.At), o.Over)
 			}
@@ -299,6 +301,11 @@
 	}
 }
 
+// restored reports whether the store was restored from a copy between two times.
+func (c *checker) restored(from, to time.Time) bool {
+	return slices.ContainsFunc(c.Restores, func(at time.Time) bool { return at.After(from) && at.Before(to) })
+}
+
 // checkBadVersion checks the requests that reached a bad version.
 func (c *checker) checkBadVersion(o Order) {
 	all, reached, end := 0, 0, o.At.Add(o.Over)
--- a/proofs/soak/history.go
+++ b/proofs/soak/history.go
@@ -83,7 +83,9 @@
 	// Orders holds the orders of rollouts, and States the states that hosts have written for them.
 	Orders []Order
 	States []users.State
-	Ends   []End
+	// Restores holds when the store was restored from a copy.
+	Restores []time.Time
+	Ends     []End
 	// KilledAtGrace is the number of processes that still ran at the end of their grace and were killed, as the platform does.
 	// No rule forbids it; requests that are lost by it are reported.
 	KilledAtGrace int
--- a/proofs/soak/plan.go
+++ b/proofs/soak/plan.go
@@ -29,6 +29,7 @@
 	StoreMode Kind = "store"     // the store answers in Mode for the time For
 	Rebalance Kind = "rebalance" // the store assigns its partitions anew
 	Deafen    Kind = "deafen"    // reads that wait at the store miss the next change
+	Restore   Kind = "restore"   // the store is away for the time For and comes back from a copy of the age Age
 
 	Drain Kind = "drain" // the upstream leaves, and a new one joins
 	Crash Kind = "crash" // the upstream closes its listener without leaving, and a new one joins
@@ -88,6 +89,8 @@
 	Mode string
 	// StoreLink selects the link of a Link event.
 	StoreLink bool
+	// Age is the age of the copy in a Restore event.
+	Age time.Duration
 	// Further holds the signals that follow a SIGTERM at intervals of half a second.
 	Further []string
 }
@@ -112,6 +115,9 @@
 	if e.For > 0 {
 		text += fmt.Sprintf(" for %.2f s", e.For.Seconds())
 	}
+	if e.Age > 0 {
+		text += fmt.Sprintf(" from a copy of %.2f s before", e.Age.Seconds())
+	}
 	return text
 }
 
@@ -172,6 +178,8 @@
 	}})
 	g = generator{rand.New(rand.NewPCG(seed, 2))}
 	p.Series = append(p.Series, []Event{g.brokenResponses()})
+	g = generator{rand.New(rand.NewPCG(seed, 3))}
+	p.Series = append(p.Series, g.series(2*time.Second, 20*time.Second, g.restore))
 	return p
 }
 
@@ -252,6 +260,10 @@
 	}
 }
 
+func (g generator) restore() Event {
+	return Event{Kind: Restore, For: g.between(200*time.Millisecond, 2*time.Second), Age: g.between(500*time.Millisecond, 8*time.Second)}
+}
+
 func (g generator) configurationEvent() Event {
 	if g.IntN(2) == 0 {
 		return Event{Kind: Routes}
--- a/proofs/soak/site_test.go
+++ b/proofs/soak/site_test.go
@@ -285,6 +285,8 @@
 		s.disrupt(Span{}, func() { s.command(users.Command{Rebalance: true}) })
 	case Deafen:
 		s.disrupt(Span{}, func() { s.command(users.Command{Deafen: true}) })
+	case Restore:
+		s.disrupt(Span{}, func() { s.restoreStore(e) })
 	case Drain, Crash, Chill, Fault:
 		s.playUpstreamEvent(e)
 	case Rollout:
@@ -301,6 +303,17 @@
 	}
 }
 
+// restoreStore takes the store away, restores it from a copy, and brings it back. The operators write again what they wrote since.
+func (s *soakSite) restoreStore(e Event) {
+	s.command(users.Command{Store: "reset"})
+	s.command(users.Command{RestoreMS: int(e.Age.Milliseconds()), Rewrite: true})
+	s.mu.Lock()
+	s.history.Restores = append(s.history.Restores, time.Now())
+	s.mu.Unlock()
+	time.Sleep(e.For)
+	s.command(users.Command{Store: "up"})
+}
+
 func (s *soakSite) recordAct(a Act) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/sardinegate/watch/era.go
+++ b/sardinegate/watch/era.go
@@ -103,9 +103,12 @@
 func (w *Watcher) announceInEachEra(ctx context.Context) {
 	announced := w.announce(ctx)
 	for pause.For(ctx, ageCheckInterval) {
-		if w.isBehindEra(announced) {
-			pause.For(ctx, w.readAge()-minReadAge) // so that not all hosts write at once
-			announced = w.announce(ctx)
+		if !w.isBehindEra(announced) {
+			continue
+		}
+		pause.For(ctx, w.readAge()-minReadAge) // so that not all hosts write at once
+		if announced = w.announce(ctx); w.isBehindEra(announced) {
+			pause.For(ctx, w.retryDelay(maxDelayFailures)) // the answer is of an earlier era than another host has told
 		}
 	}
 }
--- a/sardinegate/watch/follow.go
+++ b/sardinegate/watch/follow.go
@@ -32,6 +32,8 @@
 	minRetryDelay = 60 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
 	retryRankStep = 100 * time.Millisecond
+	// maxDelayFailures is a number of failures after which the pause is maxRetryDelay.
+	maxDelayFailures = 4
 )
 
 // noPosition is before all positions.
@@ -86,6 +88,9 @@
 		var gap *fleet.GapError
 		var era *fleet.EraError
 		switch {
+		case err == nil && w.isBehindEra(s.position()):
+			failures++ // the answer is of an earlier era than another host has told
+			failedAt = w.now()
 		case err == nil:
 			positionRead, deletedFrom, failures = true, noPosition, 0
 		case canResume && errors.As(err, &gap):
@@ -104,7 +109,7 @@
 // retryDelay returns the pause after the given number of failed calls in a row.
 func (w *Watcher) retryDelay(failures int) time.Duration {
 	rank := slices.Index(w.deps.Node.RankHosts(readTask, false), w.deps.Host)
-	return min(minRetryDelay<<min(failures-1, 4), maxRetryDelay) + time.Duration(max(rank, 0))*retryRankStep
+	return min(minRetryDelay<<min(failures-1, maxDelayFailures), maxRetryDelay) + time.Duration(max(rank, 0))*retryRankStep
 }
 
 // join copies the view from other hosts until it is complete, because the store may be unreachable when this host
--- a/sardinegate/watch/operators.go
+++ b/sardinegate/watch/operators.go
@@ -84,7 +84,9 @@
 func (w *Watcher) expireOperatorRecords() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.putInForce(w.operators.Expire(w.now()))
+	if changed := w.operators.Expire(w.now()); len(changed) > 0 {
+		w.putInForce(changed)
+	}
 }
 
 // confirmOperatorRecords records that a read that was sent at asOf confirmed the position, and publishes the view with the records
