--- a/lib/fleet/list.go
+++ b/lib/fleet/list.go
@@ -95,14 +95,14 @@
 func (l *List) beginEra(now time.Duration, reads Reads) {
 	l.Previous = l.Position
 	l.Reads = reads.withOutageUntil(reads.First)
-	l.removals.guardUntil = now + restoreGrace
+	l.removals.graceUntil = now + restoreGrace
 }
 
 // applyChange applies one change. It ignores an entry that is older than the listed one, or than one that was removed before the
 // store was restored.
 func (l *List) applyChange(now time.Duration, c Change) {
 	if c.Upstream != nil {
-		if old, ok := l.entries[c.ID]; ok && old.newer(c.Upstream) || l.removals.guards(now, c.Upstream) {
+		if old, ok := l.entries[c.ID]; ok && old.newer(c.Upstream) || l.removals.blocks(now, c.Upstream) {
 			return
 		}
 		l.entries[c.ID] = *c.Upstream
@@ -142,6 +142,7 @@
 // that there was no outage. After restoreGrace it uses the records that removals kept from use. It reports whether there were any.
 func (l *List) Expire(now time.Duration) bool {
 	l.removals.forget(now)
+	l.removals.extendGrace(now, l.Reads.Last)
 	released := l.release(now)
 	if len(l.lapsing) == 0 || l.Reads.keepsLapsed(now) {
 		return released
@@ -152,13 +153,13 @@
 	return true
 }
 
-// release uses the records that removals kept from use once these guard no longer. It reports whether there were any.
+// release uses the records that removals kept from use once the grace has ended. It reports whether there were any.
 func (l *List) release(now time.Duration) bool {
 	released := false
-	for _, u := range l.removals.endGuard(now) {
-		recorded, ok := l.recorded[u.ID]
-		if _, used := l.entries[u.ID]; ok && !used {
-			l.entries[u.ID] = recorded
+	for _, id := range l.removals.endGrace(now) {
+		recorded, ok := l.recorded[id]
+		if _, used := l.entries[id]; ok && !used {
+			l.entries[id] = recorded
 			released = true
 		}
 	}
@@ -202,14 +203,14 @@
 	// not send these and the following fields.
 	Era      int64     `cbor:"5,keyasint,omitempty"`
 	Previous *Position `cbor:"6,keyasint,omitempty"`
-	// Removed holds the entries that were removed lately, if records that are not newer are not used for the time GuardLeft.
-	Removed   []Upstream    `cbor:"7,keyasint,omitempty"`
-	GuardLeft time.Duration `cbor:"8,keyasint,omitempty"`
+	// Removed holds the entries that were removed lately. For the time GraceLeft, records that are not newer are not used.
+	Removed   []RemovedEntry `cbor:"7,keyasint,omitempty"`
+	GraceLeft time.Duration  `cbor:"8,keyasint,omitempty"`
 }
 
 // WithoutEra returns the snapshot with the fields that hosts of earlier releases know.
 func (s Snapshot) WithoutEra() Snapshot {
-	s.Era, s.Previous, s.Removed, s.GuardLeft = 0, nil, nil, 0
+	s.Era, s.Previous, s.Removed, s.GraceLeft = 0, nil, nil, 0
 	return s
 }
 
@@ -245,8 +246,8 @@
 			s.Kept = append(s.Kept, KeptEntry{Upstream: u})
 		}
 	}
-	if left := l.removals.guardUntil - now; left > 0 {
-		s.Removed, s.GuardLeft = l.removals.all(), left
+	if l.Position.Era > 0 {
+		s.Removed, s.GraceLeft = l.removals.snapshot(now), max(l.removals.graceUntil-now, 0)
 	}
 	return s
 }
@@ -265,7 +266,7 @@
 	if to.Position.RestoredSince(l.Position) {
 		l.beginEra(now, reads)
 	}
-	l.learnRemovals(now, s)
+	l.MergeRemovals(now, s)
 	if !l.Position.After(to.Position) {
 		l.Position.Era = to.Position.Era
 		l.Replace(now, reads, to.Position, s.Recorded)
@@ -278,7 +279,7 @@
 			l.applyChange(now, Change{ID: k.Upstream.ID, Upstream: &k.Upstream})
 			continue
 		}
-		if _, listed := l.entries[k.Upstream.ID]; listed || l.removals.guards(now, &k.Upstream) {
+		if _, listed := l.entries[k.Upstream.ID]; listed || l.removals.blocks(now, &k.Upstream) {
 			continue
 		}
 		if knewLess {
@@ -289,11 +290,11 @@
 	}
 }
 
-// learnRemovals takes over the removals that another host knows and removes the entries that these show to be out of date.
-func (l *List) learnRemovals(now time.Duration, s Snapshot) {
-	l.removals.merge(now, s.Removed, s.GuardLeft)
+// MergeRemovals takes over the removals in a snapshot of another host and removes the entries that these show to be out of date.
+func (l *List) MergeRemovals(now time.Duration, s Snapshot) {
+	l.removals.merge(now, s.Removed, s.GraceLeft)
 	for id, u := range l.entries {
-		if l.removals.guards(now, &u) {
+		if l.removals.blocks(now, &u) {
 			delete(l.entries, id)
 			delete(l.lapsing, id)
 		}
--- a/lib/fleet/operator.go
+++ b/lib/fleet/operator.go
@@ -11,6 +11,8 @@
 type OperatorRecord struct {
 	Record
 	Change OperatorChange
+	// Unusable is set if the record could not be decoded. The record in force before it stays.
+	Unusable bool
 }
 
 // supersedes reports whether r may replace old as the record in force. A configuration gives way neither to an earlier
@@ -26,7 +28,7 @@
 func (r OperatorRecord) removed() bool { return len(r.Value) == 0 }
 
 // equal reports whether both records are the same.
-func (r OperatorRecord) equal(other OperatorRecord) bool {
+func (r Record) equal(other Record) bool {
 	return r.Key == other.Key && bytes.Equal(r.Value, other.Value)
 }
 
@@ -51,7 +53,7 @@
 
 // pastRecord is a record that was in force until the time end.
 type pastRecord struct {
-	record OperatorRecord
+	record Record
 	end    time.Duration
 }
 
@@ -85,7 +87,7 @@
 	}
 	var changed []OperatorRecord
 	for _, r := range o.withRemovals(newest) {
-		if held, ok := o.held[r.Key]; ok && held.equal(r) {
+		if held, ok := o.held[r.Key]; ok && held.equal(r.Record) {
 			continue // not written again since the store was restored
 		}
 		delete(o.held, r.Key)
@@ -101,15 +103,15 @@
 	for _, r := range o.withRemovals(newest) {
 		known, ok := o.inForce[r.Key]
 		switch {
-		case ok && known.equal(r):
-		case ok && !r.supersedes(known), o.wasInForce(now, r):
+		case r.Unusable, ok && known.equal(r.Record):
+		case ok && !r.supersedes(known), o.wasInForce(now, r.Record):
 			o.held[r.Key] = r
 		}
 	}
 }
 
 // wasInForce reports whether a record was in force within removalMemory.
-func (o *OperatorRecords) wasInForce(now time.Duration, r OperatorRecord) bool {
+func (o *OperatorRecords) wasInForce(now time.Duration, r Record) bool {
 	return slices.ContainsFunc(o.past[r.Key], func(p pastRecord) bool {
 		return now-p.end <= removalMemory && p.record.equal(r)
 	})
@@ -132,15 +134,18 @@
 
 // set puts a record in force unless the one in force is a later version, and appends it to changed if that makes a difference.
 func (o *OperatorRecords) set(now time.Duration, r OperatorRecord, changed []OperatorRecord) []OperatorRecord {
+	if r.Unusable {
+		return changed
+	}
 	old, known := o.inForce[r.Key]
 	if !known {
 		old = o.remove(r.Key)
 	}
-	if known && !r.supersedes(old) || old.equal(r) {
+	if known && !r.supersedes(old) || old.equal(r.Record) {
 		return changed
 	}
 	if r.Change.Routes == nil {
-		o.past[r.Key] = append(o.past[r.Key], pastRecord{old, now})
+		o.past[r.Key] = append(o.past[r.Key], pastRecord{old.Record, now})
 	}
 	if r.removed() {
 		delete(o.inForce, r.Key)
@@ -150,9 +155,13 @@
 	return append(changed, r)
 }
 
-// Expire puts the records that are held in force once the grace has ended, and returns those that have come into force.
-func (o *OperatorRecords) Expire(now time.Duration) []OperatorRecord {
+// Expire puts the records that are held in force once the grace has ended, and returns those that have come into force. The grace
+// starts again while the store is not read: lastRead is when the last read was sent.
+func (o *OperatorRecords) Expire(now, lastRead time.Duration) []OperatorRecord {
 	o.forgetPast(now)
+	if o.graceUntil > 0 && now-lastRead > OutageGap {
+		o.graceUntil = now + restoreGrace
+	}
 	if o.graceUntil == 0 || now < o.graceUntil {
 		return nil
 	}
@@ -183,6 +192,14 @@
 	Held    []Record `cbor:"3,keyasint,omitempty"`
 	// GraceLeft is the time for which Held stays out of force.
 	GraceLeft time.Duration `cbor:"4,keyasint,omitempty"`
+	// Past holds the records that ceased to be in force lately.
+	Past []PastRecord `cbor:"5,keyasint,omitempty"`
+}
+
+// PastRecord is a record that was in force until a time Age ago.
+type PastRecord struct {
+	Record Record        `cbor:"1,keyasint"`
+	Age    time.Duration `cbor:"2,keyasint"`
 }
 
 // Stored returns the newest records of the store as of the position of the snapshot.
@@ -199,9 +216,24 @@
 
 // Snapshot returns a copy of the records.
 func (o *OperatorRecords) Snapshot(now time.Duration) OperatorSnapshot {
-	return OperatorSnapshot{
+	s := OperatorSnapshot{
 		Progress: o.Progress, InForce: plainRecords(o.inForce), Held: plainRecords(o.held), GraceLeft: max(o.graceUntil-now, 0),
 	}
+	for _, key := range slices.Sorted(maps.Keys(o.past)) {
+		for _, p := range o.past[key] {
+			s.Past = append(s.Past, PastRecord{p.record, now - p.end})
+		}
+	}
+	return s
+}
+
+// MergePast adds the records that another host knows to have ceased to be in force.
+func (o *OperatorRecords) MergePast(now time.Duration, past []PastRecord) {
+	for _, p := range past {
+		if p.Age >= 0 && !o.wasInForce(now, p.Record) {
+			o.past[p.Record.Key] = append(o.past[p.Record.Key], pastRecord{p.Record, now - p.Age})
+		}
+	}
 }
 
 // plainRecords returns records by key, sorted by key.
@@ -222,9 +254,14 @@
 	}
 	clear(o.held)
 	for _, r := range held {
-		o.held[r.Key] = r
+		if !r.Unusable {
+			o.held[r.Key] = r
+		}
+	}
+	o.graceUntil = 0
+	if graceLeft > 0 {
+		o.graceUntil = now + min(graceLeft, restoreGrace)
 	}
-	o.graceUntil = now + min(graceLeft, restoreGrace)
 	o.Progress = progress
 	return changed
 }
--- a/lib/fleet/position.go
+++ b/lib/fleet/position.go
@@ -44,15 +44,15 @@
 type Progress struct {
 	_        struct{} `cbor:",toarray"`
 	Position Position
-	// Previous is the last position that the host, or one that it copied from, knew in the era before that of Position. It is the
-	// zero Position if that era is not known.
+	// Previous is the last position that the host, or one that it copied from, knew in an earlier era than that of Position. It is the
+	// zero Position if none is known.
 	Previous Position
 }
 
-// AheadOf reports whether a host with progress p knows records that one with progress other does not know: later ones, or ones
-// of the era before that the store has lost.
-func (p Progress) AheadOf(other Progress) bool {
-	return p.Position.After(other.Position) || p.Position.Era == other.Position.Era && p.Previous.After(other.Previous)
+// KnowsEarlier reports whether a host with progress p knows records of an earlier era, which the store has lost, that one with
+// progress other does not know.
+func (p Progress) KnowsEarlier(other Progress) bool {
+	return p.Position.Era == other.Position.Era && p.Previous.After(other.Previous)
 }
 
 // EraError reports an answer of the store in the era Got, while the caller knows a position in the era Have.
--- a/lib/fleet/removals.go
+++ b/lib/fleet/removals.go
@@ -1,8 +1,8 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -11,8 +11,9 @@
 	// were not written again. By its end the operators and the upstreams have written again what was lost, and entries of upstreams
 	// that are gone have lapsed.
 	restoreGrace = 8 * time.Second
-	// removalMemory is how long removals are remembered. A copy from which the store is restored is not as old.
-	removalMemory = 2 * time.Minute
+	// removalMemory is how long removed entries and past records are remembered. A copy from which the store is restored is some
+	// seconds old.
+	removalMemory = 30 * time.Second
 )
 
 // removal is an entry that was removed, and when.
@@ -24,8 +25,12 @@
 	lapsed bool
 }
 
-// guards reports whether an entry that comes after the removal is out of date.
-func (r removal) guards(u *Upstream) bool {
+// outdates reports whether an entry that comes after the removal is none of a later report. Entries of which one has no time of the
+// start cannot be compared.
+func (r removal) outdates(u *Upstream) bool {
+	if u.Started != r.upstream.Started && (u.Started == 0 || r.upstream.Started == 0) {
+		return false
+	}
 	if r.lapsed {
 		return r.upstream.newer(u)
 	}
@@ -36,8 +41,8 @@
 // although their upstreams have left.
 type removals struct {
 	byID map[string]removal
-	// guardUntil is the end of the grace after the store was restored; 0 if the grace has ended.
-	guardUntil time.Duration
+	// graceUntil is the end of the grace after the store was restored; 0 if it has ended.
+	graceUntil time.Duration
 }
 
 func newRemovals() removals { return removals{byID: make(map[string]removal)} }
@@ -47,48 +52,65 @@
 	r.byID[u.ID] = removal{u, now, lapsed}
 }
 
-// guards reports whether an entry must not be used because of a removal before the store was restored.
-func (r *removals) guards(now time.Duration, u *Upstream) bool {
+// blocks reports whether an entry must not be used because of a removal before the store was restored.
+func (r *removals) blocks(now time.Duration, u *Upstream) bool {
 	old, ok := r.byID[u.ID]
-	return ok && now < r.guardUntil && old.guards(u)
+	return ok && now < r.graceUntil && old.outdates(u)
+}
+
+// extendGrace starts the grace again if it has not ended and the store was not read lately: neither are entries listed again then, nor
+// do they lapse. lastRead is when the last read was sent.
+func (r *removals) extendGrace(now, lastRead time.Duration) {
+	if r.graceUntil > 0 && now-lastRead > OutageGap {
+		r.graceUntil = now + restoreGrace
+	}
 }
 
-// endGuard returns the removed entries if the grace has just ended, and none else.
-func (r *removals) endGuard(now time.Duration) []Upstream {
-	if r.guardUntil == 0 || now < r.guardUntil {
+// endGrace returns the IDs of the removed entries if the grace has just ended, and none else.
+func (r *removals) endGrace(now time.Duration) []string {
+	if r.graceUntil == 0 || now < r.graceUntil {
 		return nil
 	}
-	r.guardUntil = 0
-	return r.all()
+	r.graceUntil = 0
+	return slices.Sorted(maps.Keys(r.byID))
 }
 
-// forget drops the removals that are older than removalMemory.
+// forget drops the removals that are older than removalMemory, but none in the grace.
 func (r *removals) forget(now time.Duration) {
 	for id, old := range r.byID {
-		if now-old.at > removalMemory {
+		if r.graceUntil == 0 && now-old.at > removalMemory {
 			delete(r.byID, id)
 		}
 	}
 }
 
-// merge adds the removed entries that another host knows, and the time for which it guards against them.
-func (r *removals) merge(now time.Duration, removed []Upstream, left time.Duration) {
-	if left > 0 {
-		r.guardUntil = max(r.guardUntil, now+min(left, restoreGrace))
-	}
-	for _, u := range removed {
-		if old, ok := r.byID[u.ID]; !ok || u.newer(&old.upstream) {
-			r.add(now, u, false)
-		}
-	}
+// RemovedEntry is an entry that was removed a time Age ago.
+type RemovedEntry struct {
+	Upstream Upstream      `cbor:"1,keyasint"`
+	Age      time.Duration `cbor:"2,keyasint"`
+	// Lapsed is set if the entry was removed because it was not listed again after an outage.
+	Lapsed bool `cbor:"3,keyasint,omitempty"`
 }
 
-// all returns the removed entries, sorted by ID.
-func (r *removals) all() []Upstream {
-	out := make([]Upstream, 0, len(r.byID))
-	for _, old := range r.byID {
-		out = append(out, old.upstream)
+// snapshot returns the removed entries, sorted by ID, for another host.
+func (r *removals) snapshot(now time.Duration) []RemovedEntry {
+	var out []RemovedEntry
+	for _, id := range slices.Sorted(maps.Keys(r.byID)) {
+		old := r.byID[id]
+		out = append(out, RemovedEntry{old.upstream, now - old.at, old.lapsed})
 	}
-	slices.SortFunc(out, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
+
+// merge adds the removed entries that another host knows, and the time that is left of its grace.
+func (r *removals) merge(now time.Duration, removed []RemovedEntry, graceLeft time.Duration) {
+	if graceLeft > 0 {
+		r.graceUntil = max(r.graceUntil, now+min(graceLeft, restoreGrace))
+	}
+	for _, e := range removed {
+		old, ok := r.byID[e.Upstream.ID]
+		if e.Age >= 0 && (!ok || e.Upstream.newer(&old.upstream)) {
+			r.byID[e.Upstream.ID] = removal{e.Upstream, now - e.Age, e.Lapsed}
+		}
+	}
+}
--- a/sardinegate/broker/broker.go
+++ b/sardinegate/broker/broker.go
@@ -109,8 +109,9 @@
 	rollouts    map[string]*rollout
 	evidenceAt  time.Duration // when the evidence was last logged
 	ordersKnown bool
-	// storeEra is the latest era of the store in a view.
-	storeEra int64
+	// storeEra is the latest era of the store in a view, and restoredAt when it followed another one; 0 if it did not.
+	storeEra   int64
+	restoredAt time.Duration
 }
 
 // New starts a broker with its background tasks.
--- a/sardinegate/broker/rollout.go
+++ b/sardinegate/broker/rollout.go
@@ -36,6 +36,9 @@
 	unreadableAfter = 600 * time.Millisecond
 	// evidenceInterval is the time between two log lines on the evidence of a rollout.
 	evidenceInterval = time.Second
+	// finalAnswerTime is the time after a restore of the store in which hosts answer an owner that does not know of the final stage. By
+	// its end the owners of before have written it again.
+	finalAnswerTime = 8 * time.Second
 	// finalTells is the number of times that a final state in the store is told. A message may be lost.
 	finalTells = 5
 )
@@ -68,8 +71,9 @@
 	record   fleet.Status
 	position fleet.Position
 	// completing is set from the begin of a write of the state complete until it is known that it did not take effect. The old
-	// upstreams may have stopped, so that the version is not rolled back.
-	completing bool
+	// upstreams may have stopped, so that the version is not rolled back. It was written at completingAt.
+	completing   bool
+	completingAt fleet.Position
 	// stored is the state of the order in record.
 	stored fleet.RolloutState
 	readAt time.Duration // when stored was last confirmed
@@ -106,6 +110,7 @@
 // ones, so that they are read and written again. b.mu must be held.
 func (b *Broker) updateStoreEra(era int64) {
 	if restored := b.storeEra > 0 && era > b.storeEra; restored {
+		b.restoredAt = b.now()
 		for _, r := range b.rollouts {
 			r.position, r.stored = unknownPosition, fleet.RolloutNone
 		}
@@ -207,14 +212,19 @@
 	if r.stored.Final() {
 		r.tells++
 	}
-	stage, number := r.Stage()
-	if r.ackOf != number {
+	if _, number := r.Stage(); r.ackOf != number {
 		r.ackOf = number
 		clear(r.acked)
 	}
-	return &mesh.Message{RolloutState: &mesh.RolloutState{
+	return &mesh.Message{RolloutState: r.state(now)}
+}
+
+// state returns the stage for other hosts.
+func (r *rollout) state(now time.Duration) *mesh.RolloutState {
+	stage, number := r.Stage()
+	return &mesh.RolloutState{
 		Service: r.Order.Service, Version: r.Order.Version, Stage: stage, Number: number, Elapsed: r.Elapsed(now), Over: r.Order.Over,
-	}}
+	}
 }
 
 // logStage logs a change of the stage with the evidence. b.mu must be held.
@@ -252,6 +262,9 @@
 		return
 	}
 	r.fresh = false
+	if b.answersFinal(now, r, s) {
+		b.deps.Node.Send(m.From, &mesh.Message{RolloutState: r.state(now)})
+	}
 	if r.Tell(now, s.Stage, s.Elapsed) {
 		b.deps.Log.Info("rollout stage told", "service", s.Service, "version", s.Version, "stage", s.Stage.String(), "decidedBy", m.From)
 	}
@@ -260,6 +273,13 @@
 	}
 }
 
+// answersFinal reports whether this host answers the stage that an owner has sent with a final one. An owner that started after the store
+// was restored reads the state of the copy and does not know that the order has ended.
+func (b *Broker) answersFinal(now time.Duration, r *rollout, s *mesh.RolloutState) bool {
+	stage, _ := r.Stage()
+	return stage.Final() && !s.Stage.Final() && b.restoredAt > 0 && now-b.restoredAt < finalAnswerTime
+}
+
 // statusLoop writes the states of the orders of services that this host owns until ctx ends. The selection of upstreams does
 // not wait for it, and neither do the states of other services.
 func (b *Broker) statusLoop(ctx context.Context) {
@@ -337,8 +357,11 @@
 	r.SetKnown()
 	r.record, r.position = record, at
 	// The evidence since the write of complete is weighed before the next.
-	refused := read && r.completing && record.State != fleet.RolloutComplete && r.writes <= 1
+	refused := read && r.completing && record.State != fleet.RolloutComplete && r.writes <= 1 && !at.RestoredSince(r.completingAt)
 	r.completing = r.completing && !refused || write && !refused && want == fleet.RolloutComplete
+	if write && !refused && want == fleet.RolloutComplete {
+		r.completingAt = at
+	}
 	if !write {
 		b.adopt(r, record.State, final)
 	}
--- a/sardinegate/broker/rollout_test.go
+++ b/sardinegate/broker/rollout_test.go
@@ -307,6 +307,51 @@
 	})
 }
 
+// Guards against a rollback after complete took effect: its answer was lost, and then its record with the copy.
+func TestCompleteLostWithTheCopyIsNotRolledBack(t *testing.T) {
+	ctx := context.Background()
+	m := &memoryStatuses{era: 1}
+	b, r := newRollout(t, m)
+	learnEra(b, r, 1)
+	b.writeStatus(ctx, r)
+	r.Set(b.now(), canary.Moved)
+	r.mayComplete, m.lost = true, true
+	b.writeStatus(ctx, r)
+	assertStates(t, m, fleet.RolloutActive, fleet.RolloutComplete)
+	m.lost = false
+	m.restore(1)
+	learnEra(b, r, 2)
+	b.writeStatus(ctx, r)
+	rollBack(b, r) // the old upstreams may have stopped
+	b.writeStatus(ctx, r)
+	assertStates(t, m, fleet.RolloutActive, fleet.RolloutComplete)
+}
+
+// Guards against an owner that starts after the store was restored and begins an order again that other hosts know to have ended.
+func TestHostsAnswerAnOwnerThatDoesNotKnowTheFinalStage(t *testing.T) {
+	for name, c := range map[string]struct {
+		restored bool
+		want     bool
+	}{"after a restore": {true, true}, "without one": {false, false}} {
+		t.Run(name, func(t *testing.T) {
+			b, r := newRollout(t, &memoryStatuses{era: 1})
+			learnEra(b, r, 1)
+			r.Set(b.now(), canary.Complete)
+			if c.restored {
+				learnEra(b, r, 2)
+			}
+			s := &mesh.RolloutState{Service: "s", Version: "v2", Stage: canary.Canary, Over: r.Order.Over}
+			if got := b.answersFinal(b.now(), r, s); got != c.want {
+				t.Errorf("answers: %t, want %t", got, c.want)
+			}
+			s.Stage = canary.RolledBack
+			if b.answersFinal(b.now(), r, s) {
+				t.Error("answers a final stage")
+			}
+		})
+	}
+}
+
 // delayedAnswer calls a function between the write of a state and its answer.
 type delayedAnswer struct {
 	*memoryStatuses
--- a/sardinegate/watch/era.go
+++ b/sardinegate/watch/era.go
@@ -15,20 +15,21 @@
 	// itself, beside its place in the order of readers.
 	eraCopyTime = 300 * time.Millisecond
 	// eraLearnTime is the time after its start, and after the start of an era, in which a host copies from hosts that know more of
-	// the era before.
+	// an earlier era.
 	eraLearnTime = 8 * time.Second
 )
 
-// knownEra is the latest era of the store that a host has heard of.
+// knownEra is the latest era of the store that a host knows of.
 type knownEra struct {
 	era int64
-	// since is when this host learnt of the era, and told is set if it did so from another host.
+	// since is when this host got to know of the era.
 	since time.Duration
-	told  bool
+	// fromHost is set if another host reported the era first, answered once the store itself has answered in it.
+	fromHost, answered bool
 }
 
-// learnEra takes over the eras of the store that a message of another host tells. w.mu must be held.
-func (w *Watcher) learnEra(m *mesh.Message) {
+// recordEras records the eras of the store in a message of another host. w.mu must be held.
+func (w *Watcher) recordEras(m *mesh.Message) {
 	var era int64
 	if m.Heartbeat != nil {
 		operators, list := m.Heartbeat.Progress()
@@ -40,27 +41,30 @@
 	if m.OperatorRecords != nil {
 		era = max(era, m.OperatorRecords.Span.Era)
 	}
-	w.noteEra(era, m.From)
+	w.recordEra(era, m.From)
 }
 
-// noteEra records that the store is in an era, which the given host told, or an answer of the store if it is empty. w.mu must be held.
-func (w *Watcher) noteEra(era int64, host string) {
+// recordEra records that the store is in an era, as a host has reported, or an answer of the store if host is empty. w.mu must be held.
+func (w *Watcher) recordEra(era int64, host string) {
+	if era == w.era.era && host == "" {
+		w.era.answered = true
+	}
 	if era <= w.era.era {
 		return
 	}
 	known := w.era.era
-	w.era = knownEra{era: era, since: w.now(), told: host != ""}
+	w.era = knownEra{era: era, since: w.now(), fromHost: host != "", answered: host == ""}
 	if known == 0 {
 		return
 	}
 	w.StoreRestores.Add(1)
-	w.deps.Log.Warn("store restored from a copy", "era", era, "eraBefore", known, "toldBy", host,
+	w.deps.Log.Warn("store restored from a copy", "era", era, "eraBefore", known, "reportedBy", host,
 		"operatorsEra", w.operators.Position.Era, "operatorsOffset", w.operators.Position.Offset,
 		"listEra", w.list.Position.Era, "listOffset", w.list.Position.Offset)
 }
 
-// noteAnswer records the era in which the store answered a call that failed or succeeded.
-func (w *Watcher) noteAnswer(position fleet.Position, err error) {
+// recordAnswer records the era in which the store answered a call that failed or succeeded.
+func (w *Watcher) recordAnswer(position fleet.Position, err error) {
 	era := position.Era
 	var other *fleet.EraError
 	if errors.As(err, &other) {
@@ -68,7 +72,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.noteEra(era, "")
+	w.recordEra(era, "")
 }
 
 // isBehindEra reports whether a position is of an era before the one that the store is in.
@@ -79,7 +83,8 @@
 }
 
 // awaitsCopy reports whether this host still waits for a copy of the first records of an era, so that not all hosts read them from the
-// store at once. The host that has found the era in an answer of the store does not wait unless another one is ahead.
+// store at once. The host that has found the era in an answer of the store does not wait, unless another one is ahead or this host
+// started lately, and does not know what was removed before.
 func (w *Watcher) awaitsCopy(p fleet.Position) bool {
 	w.mu.Lock()
 	era, since := w.era, w.now()-w.era.since
@@ -87,28 +92,54 @@
 	if p.Era == 0 || p.Era >= era.era {
 		return false
 	}
-	wait := eraCopyTime + w.readAge() - minReadAge
-	return since < wait && (era.told || len(w.hostsAhead()) > 0)
+	if wait := eraCopyTime + w.readAge() - minReadAge; since >= wait {
+		return false
+	}
+	return era.fromHost || len(w.hostsAhead()) > 0 || !w.remembers.Load() && len(w.deps.Node.Alive()) > 0
 }
 
-// learnsOfEraBefore reports whether this host still looks for hosts that know more of the era before the present one.
-func (w *Watcher) learnsOfEraBefore() bool {
+// copiesEarlierEra reports whether this host still copies from hosts that know more of an earlier era.
+func (w *Watcher) copiesEarlierEra() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.era.era > 0 && w.now()-w.era.since < eraLearnTime
 }
 
+// awaitsAnswer reports whether the store has not yet answered this host in the era that other hosts have reported.
+func (w *Watcher) awaitsAnswer() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.era.answered
+}
+
+// copyMemory copies from a live host what was removed lately, once after the start of this host. It tries one host in each call, for
+// eraLearnTime after the first answer of a store that tells its era.
+func (w *Watcher) copyMemory(ctx context.Context, attempt int) {
+	w.mu.Lock()
+	era, since := w.era.era, w.now()-w.era.since
+	w.mu.Unlock()
+	if era == 0 || w.remembers.Load() || !w.copying.TryLock() {
+		return
+	}
+	defer w.copying.Unlock()
+	alive := w.inOwnOrder(w.deps.Node.Alive())
+	copied := len(alive) > 0 && w.copyFromHost(ctx, alive[attempt%len(alive)]) == nil
+	if copied || since > eraLearnTime {
+		w.remembers.Store(true)
+	}
+}
+
 // announceInEachEra announces this host after its start, and again in each era of the store, as its address may be missing from the
 // copy.
 func (w *Watcher) announceInEachEra(ctx context.Context) {
 	announced := w.announce(ctx)
 	for pause.For(ctx, ageCheckInterval) {
-		if !w.isBehindEra(announced) {
+		if !w.isBehindEra(announced) || w.awaitsAnswer() {
 			continue
 		}
 		pause.For(ctx, w.readAge()-minReadAge) // so that not all hosts write at once
 		if announced = w.announce(ctx); w.isBehindEra(announced) {
-			pause.For(ctx, w.retryDelay(maxDelayFailures)) // the answer is of an earlier era than another host has told
+			pause.For(ctx, w.retryDelay(maxDelayFailures)) // the answer is out of date
 		}
 	}
 }
--- a/sardinegate/watch/follow.go
+++ b/sardinegate/watch/follow.go
@@ -96,7 +96,7 @@
 		case canResume && errors.As(err, &gap):
 			w.deps.Log.Info("records were deleted", "stream", s.name, "era", gap.From.Era, "from", gap.From.Offset)
 			positionRead, deletedFrom = false, gap.From
-		case errors.As(err, &era) && era.Restored():
+		case canResume && errors.As(err, &era) && era.Restored():
 			// The next round reads or copies the newest records of the new era.
 		default:
 			failures++
@@ -144,7 +144,7 @@
 	asOf, before := w.now(), s.position()
 	records, end, err := w.deps.Source.Newest(ctx, s.id)
 	w.recordStoreCall(ctx, "newest "+s.name, err)
-	w.noteAnswer(end, err)
+	w.recordAnswer(end, err)
 	if err != nil {
 		return err
 	}
@@ -175,7 +175,7 @@
 	} else {
 		w.recordStoreCall(ctx, s.name, err)
 	}
-	w.noteAnswer(next, err)
+	w.recordAnswer(next, err)
 	if err != nil {
 		return err
 	}
--- a/sardinegate/watch/operators.go
+++ b/sardinegate/watch/operators.go
@@ -61,18 +61,20 @@
 	return true
 }
 
-// copyOperatorRecords takes over the operators' records of another host, which requested them from the store at asOf. If that host
-// knew less than this one before the store was restored, only the records of the store are taken over. w.mu must be held.
+// copyOperatorRecords takes over the operators' records of another host, which a read sent at asOf confirmed. If this host knew as much
+// before the store was restored, it judges the records of the store itself; once the grace of the era has ended, those of the other host
+// hold. w.mu must be held.
 func (w *Watcher) copyOperatorRecords(asOf time.Duration, s fleet.OperatorSnapshot) error {
 	own := w.operators.Progress
 	if own.Position.After(s.Progress.Position) {
 		return &StaleError{Have: own.Position, Got: s.Progress.Position}
 	}
-	known := own.Previous
-	if s.Progress.Position.RestoredSince(own.Position) {
+	known, restored := own.Previous, s.Progress.Position.RestoredSince(own.Position)
+	if restored {
 		known = own.Position
 	}
-	if known.After(s.Progress.Previous) {
+	graceEnded := restored && s.GraceLeft == 0 && s.Progress.Previous != fleet.Position{}
+	if known.Era > 0 && !s.Progress.Previous.After(known) && !graceEnded {
 		return w.replaceOperatorRecords(asOf, s.Progress.Position, s.Stored())
 	}
 	inForce, held := w.decodeOperatorRecords(s.InForce), w.decodeOperatorRecords(s.Held)
@@ -84,7 +86,7 @@
 func (w *Watcher) expireOperatorRecords() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if changed := w.operators.Expire(w.now()); len(changed) > 0 {
+	if changed := w.operators.Expire(w.now(), w.operatorsAsOf); len(changed) > 0 {
 		w.putInForce(changed)
 	}
 }
@@ -96,16 +98,15 @@
 	w.putInForce(changed)
 }
 
-// decodeOperatorRecords decodes operators' records and leaves out those that cannot be used. w.mu must be held.
+// decodeOperatorRecords decodes operators' records and marks those that cannot be used. w.mu must be held.
 func (w *Watcher) decodeOperatorRecords(records []fleet.Record) []fleet.OperatorRecord {
 	out := make([]fleet.OperatorRecord, 0, len(records))
 	for _, r := range records {
 		change, err := w.deps.Source.DecodeOperatorChange(r)
 		if err != nil {
 			w.deps.Log.Error("operators' record not used", "key", r.Key, "error", err)
-			continue
 		}
-		out = append(out, fleet.OperatorRecord{Record: w.deps.Source.HideKeys(r), Change: change})
+		out = append(out, fleet.OperatorRecord{Record: w.deps.Source.HideKeys(r), Change: change, Unusable: err != nil})
 	}
 	return out
 }
--- a/sardinegate/watch/peers.go
+++ b/sardinegate/watch/peers.go
@@ -151,16 +151,20 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	operators := snapshot.operators()
+	w.operators.MergePast(w.now(), operators.Past)
 	if snapshot.Listed {
 		snapshot.List.Age += w.now() - requestedAt
 		w.takeList(m.Host, snapshot.List)
 	}
-	return w.takeOperatorRecords(m.Host, requestedAt-snapshot.OperatorsAge, snapshot.operators())
+	return w.takeOperatorRecords(m.Host, requestedAt-snapshot.OperatorsAge, operators)
 }
 
 // takeOperatorRecords takes over the operators' records of another host if it is ahead. w.mu must be held.
 func (w *Watcher) takeOperatorRecords(host string, asOf time.Duration, s fleet.OperatorSnapshot) error {
-	if !s.Progress.AheadOf(w.operators.Progress) {
+	own := w.operators.Progress
+	knowsEarlier := s.Progress.KnowsEarlier(own) && s.Progress.Position == own.Position
+	if !knowsEarlier && !s.Progress.Position.After(own.Position) {
 		return nil
 	}
 	if err := w.copyOperatorRecords(asOf, s); err != nil {
@@ -174,12 +178,16 @@
 
 // takeList takes over the list of upstreams of another host if it is ahead, or if this host has none. w.mu must be held.
 func (w *Watcher) takeList(host string, s fleet.Snapshot) {
-	if w.view.Load().Listed && !s.Progress().AheadOf(w.list.Progress) {
+	own, p := w.list.Progress, s.Progress()
+	if w.view.Load().Listed && !p.Position.After(own.Position) && !p.KnowsEarlier(own) {
+		if p.Position.Era == own.Position.Era {
+			w.list.MergeRemovals(w.now(), s)
+		}
 		return
 	}
 	w.list.Restore(w.now(), s)
 	w.publishList()
-	p := w.list.Progress
+	p = w.list.Progress
 	w.deps.Log.Info("upstreams taken from a host", "host", host, "era", p.Position.Era, "position", p.Position.Offset,
 		"previousEra", p.Previous.Era, "previous", p.Previous.Offset)
 }
@@ -209,30 +217,37 @@
 
 // hostsAhead returns the live hosts that are ahead of this one in a stream, in an order that differs from host to host.
 func (w *Watcher) hostsAhead() []mesh.Member {
-	ahead := slices.DeleteFunc(w.deps.Node.Alive(), func(m mesh.Member) bool { return !w.isAhead(m) })
+	return w.inOwnOrder(slices.DeleteFunc(w.deps.Node.Alive(), func(m mesh.Member) bool { return !w.isAhead(m) }))
+}
+
+// inOwnOrder sorts hosts in an order that differs from host to host, and returns them.
+func (w *Watcher) inOwnOrder(hosts []mesh.Member) []mesh.Member {
 	order := func(m mesh.Member) uint64 { return xxhash.Sum64String(w.deps.Host + " " + m.Host) }
-	slices.SortFunc(ahead, func(a, b mesh.Member) int { return cmp.Compare(order(a), order(b)) })
-	return ahead
+	slices.SortFunc(hosts, func(a, b mesh.Member) int { return cmp.Compare(order(a), order(b)) })
+	return hosts
 }
 
-// isAhead reports whether a host is ahead of this one in a stream.
+// isAhead reports whether a host is ahead of this one in a stream, or, soon after a restore or the start of this host, knows more of
+// an earlier era.
 func (w *Watcher) isAhead(m mesh.Member) bool {
 	operators, list := w.Progress()
-	return m.Operators.AheadOf(operators) || m.List.AheadOf(list)
+	return m.Operators.Position.After(operators.Position) || m.List.Position.After(list.Position) ||
+		w.copiesEarlierEra() && w.knowsEarlierEra(m)
 }
 
-// knowsEraBefore reports whether a host knows more of the era before the present one than this host, in a stream.
-func (w *Watcher) knowsEraBefore(m mesh.Member) bool {
+// knowsEarlierEra reports whether a host knows more of an earlier era than this host, in a stream.
+func (w *Watcher) knowsEarlierEra(m mesh.Member) bool {
 	operators, list := w.Progress()
-	return m.Operators.Previous.After(operators.Previous) || m.List.Previous.After(list.Previous)
+	return m.Operators.KnowsEarlier(operators) || m.List.KnowsEarlier(list)
 }
 
 // catchUp copies from hosts that are ahead while neither messages nor reads of the store renew what this host knows, or if they know
 // records that the store has lost. A read that hangs ends only at its time limit.
 func (w *Watcher) catchUp(ctx context.Context) {
-	for pause.For(ctx, catchUpInterval) {
+	for attempt := 0; pause.For(ctx, catchUpInterval); attempt++ {
+		w.copyMemory(ctx, attempt)
 		operators, list := w.Ages()
-		if max(operators, list) > staleAge || w.learnsOfEraBefore() && slices.ContainsFunc(w.deps.Node.Alive(), w.knowsEraBefore) {
+		if max(operators, list) > staleAge || w.copiesEarlierEra() && slices.ContainsFunc(w.deps.Node.Alive(), w.knowsEarlierEra) {
 			w.copyFromHosts(ctx)
 		}
 	}
--- a/sardinegate/watch/restore_test.go
+++ b/sardinegate/watch/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -308,8 +309,8 @@
 	eventually(t, "the configuration after the restore", func() bool { return version(w) == 3 })
 	s.locked(func() { s.era = 1 })
 	var stale *StaleError
-	if err := w.readNewest(t.Context(), w.operatorStream()); err == nil {
-		t.Errorf("got no error from an answer of an earlier era, want %T", stale)
+	if err := w.readNewest(t.Context(), w.operatorStream()); !errors.As(err, &stale) {
+		t.Errorf("got error %v from an answer of an earlier era, want a StaleError", err)
 	}
 	w.Handle(&mesh.Message{From: "x", OperatorRecords: &mesh.OperatorRecords{
 		Span: mesh.Span{From: 2, To: 3, Era: 1}, Records: []fleet.Record{{Key: "passau", Value: []byte("1")}},
@@ -318,3 +319,122 @@
 		t.Error("a span of an earlier era was applied")
 	}
 }
+
+// Guards against calls without a pause by a host that was told of an era in which its store never answers.
+func TestEraThatTheStoreNeverAnswers(t *testing.T) {
+	const (
+		span = 10 * time.Second
+		// maxReads is what pauses of maxRetryDelay leave of two streams and the announcement.
+		maxReads = 3*int64(span/maxRetryDelay) + 10
+	)
+	synctest.Test(t, func(t *testing.T) {
+		s := newEraSource()
+		site := startSlowSite(t, s, 1)
+		time.Sleep(settleTime)
+		hb := mesh.Heartbeat{}.WithProgress(fleet.Progress{Position: fleet.At(9, 1)}, fleet.Progress{})
+		site.hosts[0].Handle(&mesh.Message{From: "x", Heartbeat: &hb})
+		s.newest.Store(0)
+		s.put(fleet.Operators, "config", 2)
+		time.Sleep(span)
+		if n := s.newest.Load(); n > maxReads {
+			t.Errorf("%d reads of the newest records in %v, want at most %d", n, span, maxReads)
+		}
+		site.assertWithin(t, 0, "the configuration is in force", hasVersion(2))
+	})
+}
+
+// Guards against a host that starts after a restore and does not use live upstreams that are missing from the copy, although the other
+// hosts do.
+func TestHostThatStartsAfterARestoreKeepsWhatOthersKeep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEraSource()
+		site := newSlowSite(s, 3)
+		site.start(t, 0)
+		site.start(t, 1)
+		time.Sleep(settleTime)
+		s.putReport("c", 1, fleet.Ready)
+		site.assertWithin(t, applyTime, "c is listed", usesOnly("a", "b", "c"))
+		s.restore(fleet.Upstreams, 1)
+		site.assertDuring(t, time.Second, "c is kept", usesOnly("a", "b", "c"))
+		site.start(t, 2)
+		time.Sleep(200 * time.Millisecond)
+		site.assertDuring(t, 500*time.Millisecond, "c is kept", usesOnly("a", "b", "c"))
+		s.putReport("c", 2, fleet.Ready)
+		site.assertDuring(t, 5*time.Second, "c is listed again", usesOnly("a", "b", "c"))
+	})
+}
+
+// hasOrder returns whether the order for the service s is that for a version.
+func hasOrder(version string) func(*fleet.View) bool {
+	return func(v *fleet.View) bool { return v.Orders["s"].Version == version }
+}
+
+// Guards against an order that is taken for removed because the newest record of its key cannot be decoded.
+func TestUnusableNewestRecordRemovesNothing(t *testing.T) {
+	for name, era := range map[string]int64{"era unknown": 0, "era known": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newEraSource()
+				s.era = era
+				s.put(fleet.Operators, "rollout/s", "v2")
+				site := startSlowSite(t, s, 4)
+				time.Sleep(settleTime)
+				s.put(fleet.Operators, "rollout/s", 7) // no version
+				site.assertWithin(t, applyTime, "the order stays", hasOrder("v2"))
+				s.locked(func() { s.firstKept[fleet.Operators] = int64(len(s.records[fleet.Operators])) })
+				s.put(fleet.Operators, "passau", true)
+				s.locked(func() { s.firstKept[fleet.Operators]++ })
+				site.assertWithin(t, applyTime, "the newest records are read", isOut("passau"))
+				site.assertWithin(t, 0, "the order stays", hasOrder("v2"))
+			})
+		})
+	}
+}
+
+// Guards against a site that follows the copy because the host that reads it first started shortly before and does not know what was
+// removed before its start.
+func TestHostThatStartsBeforeARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEraSource()
+		site := newSlowSite(s, 5)
+		for i := range 4 {
+			site.start(t, i+1)
+		}
+		time.Sleep(settleTime)
+		s.put(fleet.Operators, "rollout/s", "v1")
+		s.put(fleet.Operators, "landshut", true)
+		time.Sleep(applyTime)
+		s.put(fleet.Operators, "landshut", nil)
+		s.put(fleet.Operators, "rollout/s", "v2")
+		s.put(fleet.Upstreams, "a", nil)
+		time.Sleep(applyTime)
+		site.start(t, 0) // the first in the order of readers
+		time.Sleep(time.Second)
+		kept := func(v *fleet.View) bool { return !isOut("landshut")(v) && hasOrder("v2")(v) && usesOnly("b")(v) }
+		site.assertWithin(t, 0, "all changes are in force", kept)
+		s.restore(fleet.Operators, 2)
+		s.locked(func() { s.records[fleet.Upstreams] = s.records[fleet.Upstreams][:2:2] })
+		site.assertDuring(t, 3*time.Second, "all is kept", kept)
+	})
+}
+
+// Guards against a copy that comes into force while the store is away again, so that nothing could be written.
+func TestGraceLastsWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEraSource()
+		site := startSlowSite(t, s, 4)
+		time.Sleep(settleTime)
+		s.put(fleet.Operators, "passau", true)
+		s.put(fleet.Upstreams, "a", nil)
+		kept := func(v *fleet.View) bool { return isOut("passau")(v) && usesOnly("b")(v) }
+		site.assertWithin(t, applyTime, "the changes are in force", kept)
+		s.restore(fleet.Operators, 1)
+		s.locked(func() { s.records[fleet.Upstreams] = s.records[fleet.Upstreams][:2:2] })
+		time.Sleep(applyTime)
+		s.locked(func() { s.broken = true })
+		site.assertDuring(t, 15*time.Second, "all is kept", kept)
+		s.locked(func() { s.broken = false })
+		s.put(fleet.Upstreams, "a", nil)
+		site.assertWithin(t, 15*time.Second, "the record is given up", func(v *fleet.View) bool { return !isOut("passau")(v) })
+	})
+}
--- a/sardinegate/watch/watch.go
+++ b/sardinegate/watch/watch.go
@@ -58,6 +58,8 @@
 	serving chan struct{}
 	// copying is locked while this host copies from others.
 	copying sync.Mutex
+	// remembers is set once this host knows what was removed lately, from another host or since its start.
+	remembers atomic.Bool
 
 	// StoreCalls counts calls to the store, FailedStoreCalls those that failed.
 	StoreCalls, FailedStoreCalls atomic.Int64
@@ -133,7 +135,7 @@
 func (w *Watcher) Handle(m *mesh.Message) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.learnEra(m)
+	w.recordEras(m)
 	v := w.view.Load()
 	if l := m.ListChanges; l != nil && v.Listed && l.Span.Era == w.list.Position.Era {
 		w.handleListChanges(m.From, l)
