watch: Split the loop that reads a stream

Cause: follow held the state of the reads, the choice of the call and the judgement of its end in one function of 50 lines. Change: the state is a struct, with a function for each of these. Result: no change of behaviour, but that a host copies from others also after an answer of an earlier era than they reported. The tests of watch pass.

--- a/sardinegate/watch/follow.go
+++ b/sardinegate/watch/follow.go
@@ -58,51 +58,75 @@
 	expire func()
 }
 
+// reader is what a host remembers of its reads of a stream.
+type reader struct {
+	// positionRead is set while the position comes from a read of the store. Reading can also resume at a position copied from
+	// another host, unless it is at or before deletedFrom: the records from there on were deleted.
+	positionRead bool
+	deletedFrom  fleet.Position
+	// failures counts the failed calls in a row, the last of which ended at failedAt.
+	failures int
+	failedAt time.Duration
+}
+
 // follow reads a stream whenever the known position gets older than readAge, because no other host has read and sent a
 // newer span of it in time.
 func (w *Watcher) follow(ctx context.Context, s stream) {
-	// positionRead is set while the position comes from a read of the store. Reading can also resume at a position copied
-	// from another host, unless it is at or before deletedFrom: the records from there on were deleted.
-	positionRead, deletedFrom, failures, failedAt := false, noPosition, 0, time.Duration(0)
-	for ctx.Err() == nil {
+	for r := (reader{deletedFrom: noPosition}); ctx.Err() == nil; {
 		s.expire()
-		position := s.position()
-		if w.awaitsCopy(position) {
+		if w.awaitsCopy(s.position()) {
 			w.copyFromHosts(ctx)
 			pause.For(ctx, ageCheckInterval)
 			continue
 		}
-		canResume := (positionRead || s.loaded() && position.After(deletedFrom)) && !w.isBehindEra(position)
-		age := s.age()
-		fresh := canResume && (age < minReadAge || age < w.readAge())
-		if fresh || failures > 0 && w.now()-failedAt < w.retryDelay(failures) {
+		resumes := w.canResume(s, r)
+		if resumes && w.isFresh(s) || w.pauses(r) {
 			pause.For(ctx, ageCheckInterval)
 			continue
 		}
 		var err error
-		if canResume {
+		if resumes {
 			err = w.readChanges(ctx, s)
 		} else {
 			err = w.readNewest(ctx, s)
 		}
-		var gap *fleet.GapError
-		var era *fleet.EraError
-		switch {
-		case err == nil && w.isBehindEra(s.position()):
-			failures++ // the answer is of an earlier era than another host has told
-			failedAt = w.now()
-		case err == nil:
-			positionRead, deletedFrom, failures = true, noPosition, 0
-		case canResume && errors.As(err, &gap):
-			w.deps.Log.Info("records were deleted", "stream", s.name, "era", gap.From.Era, "from", gap.From.Offset)
-			positionRead, deletedFrom = false, gap.From
-		case canResume && errors.As(err, &era) && era.Restored():
-			// The next round reads or copies the newest records of the new era.
-		default:
-			failures++
-			failedAt = w.now()
-			w.copyFromHosts(ctx)
-		}
+		w.endRead(ctx, s, &r, resumes, err)
+	}
+}
+
+// canResume reports whether the next read of a stream may begin at the known position.
+func (w *Watcher) canResume(s stream, r reader) bool {
+	position := s.position()
+	return (r.positionRead || s.loaded() && position.After(r.deletedFrom)) && !w.isBehindEra(position)
+}
+
+// isFresh reports whether the known position is too young for this host to read the stream.
+func (w *Watcher) isFresh(s stream) bool {
+	age := s.age()
+	return age < minReadAge || age < w.readAge()
+}
+
+// pauses reports whether this host pauses after failed calls.
+func (w *Watcher) pauses(r reader) bool {
+	return r.failures > 0 && w.now()-r.failedAt < w.retryDelay(r.failures)
+}
+
+// endRead records how a read has ended. resumed is set if it began at the known position.
+func (w *Watcher) endRead(ctx context.Context, s stream, r *reader, resumed bool, err error) {
+	var gap *fleet.GapError
+	var era *fleet.EraError
+	switch {
+	case err == nil && !w.isBehindEra(s.position()):
+		*r = reader{positionRead: true, deletedFrom: noPosition}
+	case resumed && errors.As(err, &gap):
+		w.deps.Log.Info("records were deleted", "stream", s.name, "era", gap.From.Era, "from", gap.From.Offset)
+		r.positionRead, r.deletedFrom = false, gap.From
+	case resumed && errors.As(err, &era) && era.Restored():
+		// The next round reads or copies the newest records of the new era.
+	default: // also an answer of an earlier era than another host has reported
+		r.failures++
+		r.failedAt = w.now()
+		w.copyFromHosts(ctx)
 	}
 }
 
