watch: Publish the list when another host's removals change it

Cause: a host at the position of the one that it copies from took over removals without a new view, so that an entry which these showed to be out of date stayed in use until the next change of the list (found by reading; seconds at most, as entries change all the time). Change: MergeRemovals reports whether it removed entries, and the view is published then. Result: the tests of watch pass. No test shows the delay.

--- a/lib/fleet/list.go
+++ b/lib/fleet/list.go
@@ -290,13 +290,16 @@
 	}
 }
 
-// MergeRemovals takes over the removals in a snapshot of another host and removes the entries that these show to be out of date.
-func (l *List) MergeRemovals(now time.Duration, s Snapshot) {
+// MergeRemovals takes over the removals in a snapshot of another host and removes the entries that these show to be out of date. It
+// reports whether there were any.
+func (l *List) MergeRemovals(now time.Duration, s Snapshot) bool {
 	l.removals.merge(now, s.Removed, s.GraceLeft)
+	before := len(l.entries)
 	for id, u := range l.entries {
 		if l.removals.blocks(now, &u) {
 			delete(l.entries, id)
 			delete(l.lapsing, id)
 		}
 	}
+	return len(l.entries) < before
 }
--- a/sardinegate/watch/peers.go
+++ b/sardinegate/watch/peers.go
@@ -180,8 +180,8 @@
 func (w *Watcher) takeList(host string, s fleet.Snapshot) {
 	own, p := w.list.Progress, s.Progress()
 	if w.view.Load().Listed && !p.Position.After(own.Position) && !p.KnowsEarlier(own) {
-		if p.Position.Era == own.Position.Era {
-			w.list.MergeRemovals(w.now(), s)
+		if p.Position.Era == own.Position.Era && w.list.MergeRemovals(w.now(), s) {
+			w.publishList()
 		}
 		return
 	}
