watch: Test that hosts announce themselves again after a restore

Cause: no test showed that the addresses of hosts, which only they write, come back after the store was restored without them. Change: TestHostsAnnounceThemselvesAgainAfterARestore. Result: with a single announcement it finds 0 of 4 addresses; it passes as it is.

--- a/sardinegate/watch/restore_test.go
+++ b/sardinegate/watch/restore_test.go
@@ -438,3 +438,32 @@
 		site.assertWithin(t, 15*time.Second, "the record is given up", func(v *fleet.View) bool { return !isOut("passau")(v) })
 	})
 }
+
+// Guards against hosts that later ones do not find, because their addresses are missing from the copy.
+func TestHostsAnnounceThemselvesAgainAfterARestore(t *testing.T) {
+	const hosts = 4
+	synctest.Test(t, func(t *testing.T) {
+		s := newEraSource()
+		startSlowSite(t, s, hosts)
+		time.Sleep(settleTime)
+		assertAnnounced(t, s, hosts)
+		s.restore(fleet.Hosts, hosts)
+		time.Sleep(applyTime)
+		assertAnnounced(t, s, hosts)
+		time.Sleep(settleTime)
+		s.locked(func() {
+			if n := len(s.records[fleet.Hosts]); n != hosts {
+				t.Errorf("%d addresses written after the restore, want one of each of %d hosts", n, hosts)
+			}
+		})
+	})
+}
+
+// assertAnnounced checks that the store holds the addresses of n hosts.
+func assertAnnounced(t *testing.T, s *countingSource, n int) {
+	t.Helper()
+	records, _, err := s.memorySource.Newest(t.Context(), fleet.Hosts)
+	if err != nil || len(records) != n {
+		t.Errorf("%d hosts announced, error %v, want %d", len(records), err, n)
+	}
+}
