broker: Read the state of an order again after a failed read

An owner's read failed while the store was away. It kept the position of before and wrote on it after the restore; the store had given out the offset again, to the state of another owner. The same could write another final state. Change: a call that fails makes the next one read first, also if it was a read. Result: TestStateIsReadAgainAfterAFailedRead finds the state twice without the change and once with it. The stand-in of the test checks the offset alone now, as the store does.

--- a/sardinegate/broker/rollout.go
+++ b/sardinegate/broker/rollout.go
@@ -330,19 +330,21 @@
 }
 
 // writeStatus writes the wanted state of an order if the store allows. It reads the record before, unless its position is known
-// and the wanted state is another one: a slow store needs half of the time then. After an error, which may hide that the write
-// took effect, the next call reads again.
+// and the wanted state is another one: a slow store needs half of the time then. After an error, which may hide that a write
+// took effect or that the store was restored, the next call reads again.
 func (b *Broker) writeStatus(ctx context.Context, r *rollout) {
 	service := r.Order.Service
 	b.mu.Lock()
-	record, at := r.record, r.position
-	read := at == unknownPosition || r.stored == r.wanted()
+	known := r.position
+	record, at := r.record, known
+	read := known == unknownPosition || r.stored == r.wanted()
 	b.mu.Unlock()
 	if read {
 		ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 		defer cancel()
 		var err error
 		if record, at, err = b.deps.Statuses.ReadStatus(ctx, service); err != nil {
+			b.forgetPosition(r, known)
 			b.logStatusError(r, "read", err)
 			return
 		}
@@ -373,15 +375,13 @@
 	defer cancel()
 	status := fleet.Status{State: want, Version: r.Order.Version}
 	err := b.deps.Statuses.WriteStatus(ctx, service, at, status)
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	if err != nil {
-		if r.position == at {
-			r.position = unknownPosition
-		}
+		b.forgetPosition(r, at)
 		b.logStatusError(r, "write", err)
 		return
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.deps.Log.Info("rollout state written", "service", service, "version", r.Order.Version, "state", want.String(),
 		"era", at.Era, "offset", at.Offset, "decidedBy", b.deps.Host)
 	if r.position.After(at) || b.outdated(at) {
@@ -395,6 +395,16 @@
 	b.adopt(r, want, stage)
 }
 
+// forgetPosition makes the next call read the record first if the position is still the given one, which a call that failed rests on: the
+// store may have been restored meanwhile, and have given out the offset again.
+func (b *Broker) forgetPosition(r *rollout, at fleet.Position) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.position == at {
+		r.position = unknownPosition
+	}
+}
+
 // adopt records the state in the store, and takes over the stage final if it is one. b.mu must be held.
 func (b *Broker) adopt(r *rollout, stored fleet.RolloutState, final canary.Stage) {
 	r.stored, r.readAt, r.fresh = stored, b.now(), false
--- a/sardinegate/broker/rollout_test.go
+++ b/sardinegate/broker/rollout_test.go
@@ -52,10 +52,13 @@
 		m.beforeWrite = nil
 		f(m)
 	}
-	if at != fleet.At(m.era, int64(len(m.records))) {
+	if at.Offset != int64(len(m.records)) {
 		return &fleet.ConflictError{At: at}
 	}
 	m.records = append(m.records, status)
+	if at.Era != m.era {
+		return &fleet.ConflictError{At: at} // the store checks the offset alone
+	}
 	if m.lost {
 		return errStore
 	}
@@ -327,6 +330,24 @@
 	assertStates(t, m, fleet.RolloutActive, fleet.RolloutComplete)
 }
 
+// Guards against a state that is written after the final one of another owner, because the store has given out the offset again while
+// calls failed.
+func TestStateIsReadAgainAfterAFailedRead(t *testing.T) {
+	ctx := context.Background()
+	m := &memoryStatuses{era: 1}
+	b, r := newRollout(t, m)
+	learnEra(b, r, 1)
+	b.writeStatus(ctx, r)
+	m.down = true
+	b.writeStatus(ctx, r)
+	m.down = false
+	m.restore(0)
+	m.records = append(m.records, fleet.Status{State: fleet.RolloutRolledBack, Version: "v2"})
+	rollBack(b, r)
+	b.writeStatus(ctx, r)
+	assertStates(t, m, fleet.RolloutRolledBack)
+}
+
 // Guards against an owner that starts after the store was restored and begins an order again that other hosts know to have ended.
 func TestHostsAnswerAnOwnerThatDoesNotKnowTheFinalStage(t *testing.T) {
 	for name, c := range map[string]struct {
