--- a/lib/fleet/list.go
+++ b/lib/fleet/list.go
@@ -141,7 +141,7 @@
 // Expire removes the entries that may have lapsed and were not listed again in time, or of which reads of other hosts have shown
 // that there was no outage. After restoreGrace it uses the records that removals kept from use. It reports whether there were any.
 func (l *List) Expire(now time.Duration) bool {
-	l.removals.forget(now)
+	l.removals.forget(min(now, l.Reads.Last))
 	l.removals.extendGrace(now, l.Reads.Last)
 	released := l.release(now)
 	if len(l.lapsing) == 0 || l.Reads.keepsLapsed(now) {
@@ -265,6 +265,9 @@
 	reads := ReadAt(now - s.Age)
 	if to.Position.RestoredSince(l.Position) {
 		l.beginEra(now, reads)
+		if s.Previous != nil && s.GraceLeft == 0 {
+			l.removals.graceUntil = 0 // the grace of the era has ended
+		}
 	}
 	l.MergeRemovals(now, s)
 	if !l.Position.After(to.Position) {
--- a/lib/fleet/operator.go
+++ b/lib/fleet/operator.go
@@ -83,7 +83,7 @@
 	if to.RestoredSince(o.Position) {
 		o.Previous = o.Position
 		o.graceUntil = now + restoreGrace
-		o.hold(now, newest)
+		o.hold(newest)
 	}
 	var changed []OperatorRecord
 	for _, r := range o.withRemovals(newest) {
@@ -98,23 +98,21 @@
 }
 
 // hold sets held to the records of a copy from which the store was restored that were in force before those that are now.
-func (o *OperatorRecords) hold(now time.Duration, newest []OperatorRecord) {
+func (o *OperatorRecords) hold(newest []OperatorRecord) {
 	clear(o.held)
 	for _, r := range o.withRemovals(newest) {
 		known, ok := o.inForce[r.Key]
 		switch {
 		case r.Unusable, ok && known.equal(r.Record):
-		case ok && !r.supersedes(known), o.wasInForce(now, r.Record):
+		case ok && !r.supersedes(known), o.wasInForce(r.Record):
 			o.held[r.Key] = r
 		}
 	}
 }
 
-// wasInForce reports whether a record was in force within removalMemory.
-func (o *OperatorRecords) wasInForce(now time.Duration, r Record) bool {
-	return slices.ContainsFunc(o.past[r.Key], func(p pastRecord) bool {
-		return now-p.end <= removalMemory && p.record.equal(r)
-	})
+// wasInForce reports whether a record was in force lately.
+func (o *OperatorRecords) wasInForce(r Record) bool {
+	return slices.ContainsFunc(o.past[r.Key], func(p pastRecord) bool { return p.record.equal(r) })
 }
 
 // withRemovals returns the newest records, and a removal for each key in force that is missing from them.
@@ -158,7 +156,7 @@
 // Expire puts the records that are held in force once the grace has ended, and returns those that have come into force. The grace
 // starts again while the store is not read: lastRead is when the last read was sent.
 func (o *OperatorRecords) Expire(now, lastRead time.Duration) []OperatorRecord {
-	o.forgetPast(now)
+	o.forgetPast(min(now, lastRead))
 	if o.graceUntil > 0 && now-lastRead > OutageGap {
 		o.graceUntil = now + restoreGrace
 	}
@@ -174,10 +172,10 @@
 	return changed
 }
 
-// forgetPast forgets the records that ceased to be in force before removalMemory.
-func (o *OperatorRecords) forgetPast(now time.Duration) {
+// forgetPast forgets the records that had ceased to be in force for removalMemory when the store was last read.
+func (o *OperatorRecords) forgetPast(lastRead time.Duration) {
 	for key, records := range o.past {
-		recent := slices.DeleteFunc(records, func(p pastRecord) bool { return now-p.end > removalMemory })
+		recent := slices.DeleteFunc(records, func(p pastRecord) bool { return lastRead-p.end > removalMemory })
 		if o.past[key] = recent; len(recent) == 0 {
 			delete(o.past, key)
 		}
@@ -194,6 +192,8 @@
 	GraceLeft time.Duration `cbor:"4,keyasint,omitempty"`
 	// Past holds the records that ceased to be in force lately.
 	Past []PastRecord `cbor:"5,keyasint,omitempty"`
+	// Remembers is set if the host knows what was removed lately.
+	Remembers bool `cbor:"6,keyasint,omitempty"`
 }
 
 // PastRecord is a record that was in force until a time Age ago.
@@ -230,7 +230,7 @@
 // MergePast adds the records that another host knows to have ceased to be in force.
 func (o *OperatorRecords) MergePast(now time.Duration, past []PastRecord) {
 	for _, p := range past {
-		if p.Age >= 0 && !o.wasInForce(now, p.Record) {
+		if p.Age >= 0 && !o.wasInForce(p.Record) {
 			o.past[p.Record.Key] = append(o.past[p.Record.Key], pastRecord{p.Record, now - p.Age})
 		}
 	}
@@ -259,7 +259,7 @@
 		}
 	}
 	o.graceUntil = 0
-	if graceLeft > 0 {
+	if graceLeft > 0 || len(o.held) > 0 {
 		o.graceUntil = now + min(graceLeft, restoreGrace)
 	}
 	o.Progress = progress
--- a/lib/fleet/removals.go
+++ b/lib/fleet/removals.go
@@ -11,8 +11,8 @@
 	// were not written again. By its end the operators and the upstreams have written again what was lost, and entries of upstreams
 	// that are gone have lapsed.
 	restoreGrace = 8 * time.Second
-	// removalMemory is how long removed entries and past records are remembered. A copy from which the store is restored is some
-	// seconds old.
+	// removalMemory is how long removed entries and past records are remembered, up to the last read of the store. A copy from which it
+	// is restored is some seconds older than that.
 	removalMemory = 30 * time.Second
 )
 
@@ -75,10 +75,10 @@
 	return slices.Sorted(maps.Keys(r.byID))
 }
 
-// forget drops the removals that are older than removalMemory, but none in the grace.
-func (r *removals) forget(now time.Duration) {
+// forget drops the removals that were older than removalMemory when the store was last read, but none in the grace.
+func (r *removals) forget(lastRead time.Duration) {
 	for id, old := range r.byID {
-		if r.graceUntil == 0 && now-old.at > removalMemory {
+		if r.graceUntil == 0 && lastRead-old.at > removalMemory {
 			delete(r.byID, id)
 		}
 	}
--- a/lib/fleet/restore_test.go
+++ b/lib/fleet/restore_test.go
@@ -68,3 +68,69 @@
 		})
 	}
 }
+
+// Guards against a record that is held back for ever, because it was copied between the end of the grace and the next Expire.
+func TestRecordCopiedAtTheEndOfTheGrace(t *testing.T) {
+	a := newRecords(operatorRecord("k", "old"))
+	a.Apply(time.Second, At(1, 11), []OperatorRecord{operatorRecord("k", "new")})
+	a.Replace(2*time.Second, At(2, 10), []OperatorRecord{operatorRecord("k", "old")})
+	now := 2*time.Second + restoreGrace
+	s := a.Snapshot(now)
+	b := newRecords()
+	b.Adopt(now, s.Progress, s.GraceLeft, []OperatorRecord{operatorRecord("k", "new")}, []OperatorRecord{operatorRecord("k", "old")})
+	for _, o := range []*OperatorRecords{a, b} {
+		o.Expire(now, now)
+		assertInForce(t, o, "k", "old")
+	}
+}
+
+// Guards against a copy that comes into force because the store was away for longer than records are remembered.
+func TestRestoreAfterALongOutage(t *testing.T) {
+	const end = removalMemory + 10*time.Second
+	t.Run("operators' records", func(t *testing.T) {
+		for name, first := range map[string]bool{"first restore": true, "second restore": false} {
+			t.Run(name, func(t *testing.T) {
+				o := newRecords(operatorRecord("k", "old"))
+				o.Apply(time.Second, At(1, 11), []OperatorRecord{operatorRecord("k", "new")})
+				if !first {
+					o.Replace(2*time.Second, At(2, 10), []OperatorRecord{operatorRecord("k", "old")})
+				}
+				for now := 2 * time.Second; now < end; now += time.Second {
+					o.Expire(now, 2*time.Second)
+				}
+				o.Replace(end, At(3, 10), []OperatorRecord{operatorRecord("k", "old")})
+				assertInForce(t, o, "k", "new")
+			})
+		}
+	})
+	t.Run("upstreams", func(t *testing.T) {
+		u := Upstream{ID: "u", Service: "s", Slots: 1, Started: 5, ReportNumber: 50}
+		l := removedFromList(u)
+		for now := time.Second; now < end; now += time.Second {
+			l.Expire(now)
+		}
+		l.Replace(end, ReadAt(end), At(2, 10), []Upstream{u})
+		if _, ok := l.Get("u"); ok {
+			t.Error("an upstream that has left is used")
+		}
+	})
+}
+
+// removedFromList returns a list in era 1 from which an upstream was removed.
+func removedFromList(u Upstream) *List {
+	l := NewList()
+	l.Replace(0, ReadAt(0), At(1, 10), []Upstream{u})
+	l.Apply(time.Second, ReadAt(time.Second), At(1, 10), At(1, 11), []Change{{ID: u.ID}})
+	return l
+}
+
+// Guards against a grace that begins anew at a host that was cut off during the restore.
+func TestListCopiedAfterTheGrace(t *testing.T) {
+	u := Upstream{ID: "u", Service: "s", Slots: 1, Started: 5, ReportNumber: 50}
+	l := removedFromList(u)
+	previous := At(1, 11)
+	l.Restore(20*time.Second, Snapshot{Offset: 12, Era: 2, Previous: &previous, Recorded: []Upstream{u}})
+	if _, ok := l.Get("u"); !ok {
+		t.Error("the upstream is not used, though the other host's grace has ended")
+	}
+}
--- a/sardinegate/broker/rollout.go
+++ b/sardinegate/broker/rollout.go
@@ -360,8 +360,9 @@
 	r.record, r.position = record, at
 	// The evidence since the write of complete is weighed before the next.
 	refused := read && r.completing && record.State != fleet.RolloutComplete && r.writes <= 1 && !at.RestoredSince(r.completingAt)
+	wasCompleting := r.completing
 	r.completing = r.completing && !refused || write && !refused && want == fleet.RolloutComplete
-	if write && !refused && want == fleet.RolloutComplete {
+	if write && !refused && want == fleet.RolloutComplete && !wasCompleting {
 		r.completingAt = at
 	}
 	if !write {
--- a/sardinegate/broker/rollout_test.go
+++ b/sardinegate/broker/rollout_test.go
@@ -313,21 +313,38 @@
 // Guards against a rollback after complete took effect: its answer was lost, and then its record with the copy.
 func TestCompleteLostWithTheCopyIsNotRolledBack(t *testing.T) {
 	ctx := context.Background()
-	m := &memoryStatuses{era: 1}
-	b, r := newRollout(t, m)
-	learnEra(b, r, 1)
-	b.writeStatus(ctx, r)
-	r.Set(b.now(), canary.Moved)
-	r.mayComplete, m.lost = true, true
-	b.writeStatus(ctx, r)
-	assertStates(t, m, fleet.RolloutActive, fleet.RolloutComplete)
-	m.lost = false
-	m.restore(1)
-	learnEra(b, r, 2)
-	b.writeStatus(ctx, r)
-	rollBack(b, r) // the old upstreams may have stopped
-	b.writeStatus(ctx, r)
-	assertStates(t, m, fleet.RolloutActive, fleet.RolloutComplete)
+	active := fleet.Status{State: fleet.RolloutActive, Version: "v2"}
+	for name, c := range map[string]struct {
+		// beforeWrite is called before the first write after the restore.
+		beforeWrite func(m *memoryStatuses)
+		want        []fleet.RolloutState
+	}{
+		"written again": {want: []fleet.RolloutState{fleet.RolloutActive, fleet.RolloutComplete}},
+		"the write fails": {
+			func(m *memoryStatuses) { m.records = append(m.records, active) },
+			[]fleet.RolloutState{fleet.RolloutActive, fleet.RolloutActive, fleet.RolloutComplete},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := &memoryStatuses{era: 1}
+			b, r := newRollout(t, m)
+			learnEra(b, r, 1)
+			b.writeStatus(ctx, r)
+			r.Set(b.now(), canary.Moved)
+			r.mayComplete, m.lost = true, true
+			b.writeStatus(ctx, r)
+			assertStates(t, m, fleet.RolloutActive, fleet.RolloutComplete)
+			m.lost = false
+			m.restore(1)
+			learnEra(b, r, 2)
+			m.beforeWrite = c.beforeWrite
+			b.writeStatus(ctx, r)
+			b.writeStatus(ctx, r)
+			rollBack(b, r) // the old upstreams may have stopped
+			b.writeStatus(ctx, r)
+			assertStates(t, m, c.want...)
+		})
+	}
 }
 
 // Guards against a state that is written after the final one of another owner, because the store has given out the offset again while
--- a/sardinegate/gate.go
+++ b/sardinegate/gate.go
@@ -186,5 +186,5 @@
 		Ready:         g.readyForTasks(),
 		ColdUpstreams: g.broker.Cold(),
 	}
-	return hb.WithProgress(g.watcher.Progress())
+	return hb.WithProgress(g.watcher.Progress()).WithMemory(g.watcher.Remembers())
 }
--- a/sardinegate/mesh/member.go
+++ b/sardinegate/mesh/member.go
@@ -16,7 +16,9 @@
 	Capacity                        int
 	// Operators and List are how far the host knows the operators' records and the list of upstreams.
 	Operators, List fleet.Progress
-	boot            int64
+	// Remembers is set if the host knows what was removed lately; see StoreEras.
+	Remembers bool
+	boot      int64
 	// heardSince is when the present lifetime of the host was first heard.
 	heardSince time.Duration
 	addr       netip.AddrPort
@@ -68,6 +70,7 @@
 		member.DataCentre, member.CallerAddress = hb.DataCentre, hb.CallerAddress
 		member.Leaving, member.Ready, member.Capacity = hb.Leaving, hb.Ready, hb.Capacity
 		member.Operators, member.List = hb.Progress()
+		member.Remembers = hb.Eras != nil && hb.Eras.Remembers
 		member.cold, member.coldAt = hb.ColdUpstreams, now
 		if newlyAlive {
 			member.deaf = n.isUnheard(m) // until it has heard the answer below
--- a/sardinegate/mesh/message.go
+++ b/sardinegate/mesh/message.go
@@ -135,6 +135,8 @@
 	_                               struct{} `cbor:",toarray"`
 	Operators, List                 int64
 	OperatorsPrevious, ListPrevious fleet.Position
+	// Remembers is set if the sender knows what was removed lately.
+	Remembers bool
 }
 
 // WithProgress returns the heartbeat with the progress of the sender in the operators' records and in the list of upstreams.
@@ -148,6 +150,16 @@
 	return hb
 }
 
+// WithMemory returns the heartbeat with whether the sender knows what was removed lately, if it knows an era.
+func (hb Heartbeat) WithMemory(remembers bool) Heartbeat {
+	if hb.Eras != nil {
+		eras := *hb.Eras
+		eras.Remembers = remembers
+		hb.Eras = &eras
+	}
+	return hb
+}
+
 // Progress returns the progress of the sender in the operators' records and in the list of upstreams.
 func (hb *Heartbeat) Progress() (operators, list fleet.Progress) {
 	e := StoreEras{}
--- a/sardinegate/watch/copies_test.go
+++ b/sardinegate/watch/copies_test.go
@@ -101,6 +101,8 @@
 	running bool
 	// operators and list are the progress in the host's last heartbeat.
 	operators, list fleet.Progress
+	// knowsRemovals is whether the host remembered removals at its last heartbeat.
+	knowsRemovals bool
 }
 
 // slowSite connects hosts whose links are slow and whose network carries no long messages.
@@ -124,7 +126,7 @@
 		}
 		h.mu.Lock()
 		if h.running {
-			out = append(out, mesh.Member{Host: hostName(i), Operators: h.operators, List: h.list})
+			out = append(out, mesh.Member{Host: hostName(i), Operators: h.operators, List: h.list, Remembers: h.knowsRemovals})
 		}
 		h.mu.Unlock()
 	}
@@ -151,7 +153,10 @@
 		}
 	}
 	for i, h := range n.site.hosts {
-		if i != n.self {
+		h.mu.Lock()
+		running := h.running
+		h.mu.Unlock()
+		if i != n.self && running {
 			time.AfterFunc(time.Millisecond, func() { h.Handle(m) })
 		}
 	}
@@ -171,7 +176,13 @@
 func (siteNode) AddAddress(netip.Addr) {}
 func (siteNode) AddressesKnown()       {}
 
-func (n siteNode) SendHeartbeat() { n.site.hosts[n.self].tellPositions() }
+func (n siteNode) SendHeartbeat() {
+	h := n.site.hosts[n.self]
+	h.tellPositions()
+	operators, list := h.Progress()
+	hb := mesh.Heartbeat{}.WithProgress(operators, list).WithMemory(h.Remembers())
+	n.Broadcast(&mesh.Message{Heartbeat: &hb})
+}
 
 func hostName(i int) string { return fmt.Sprintf("h%03d", i) }
 
@@ -219,7 +230,7 @@
 	operators, list := h.Progress()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.running, h.operators, h.list = true, operators, list
+	h.running, h.operators, h.list, h.knowsRemovals = true, operators, list, h.Remembers()
 }
 
 // sendHeartbeats sends heartbeats until the test ends.
--- a/sardinegate/watch/era.go
+++ b/sardinegate/watch/era.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"sardinecross.example/lib/common/pause"
@@ -112,8 +113,8 @@
 	return !w.era.answered
 }
 
-// copyMemory copies from a live host what was removed lately, once after the start of this host. It tries one host in each call, for
-// eraLearnTime after the first answer of a store that tells its era.
+// copyMemory copies what was removed lately from a live host that knows it, once after the start of this host. It tries one host in each
+// call. After eraLearnTime this host remembers enough itself.
 func (w *Watcher) copyMemory(ctx context.Context, attempt int) {
 	w.mu.Lock()
 	era, since := w.era.era, w.now()-w.era.since
@@ -122,10 +123,17 @@
 		return
 	}
 	defer w.copying.Unlock()
-	alive := w.inOwnOrder(w.deps.Node.Alive())
-	copied := len(alive) > 0 && w.copyFromHost(ctx, alive[attempt%len(alive)]) == nil
-	if copied || since > eraLearnTime {
+	if since > eraLearnTime {
 		w.remembers.Store(true)
+		return
+	}
+	knowing := w.inOwnOrder(slices.DeleteFunc(w.deps.Node.Alive(), func(m mesh.Member) bool { return !m.Remembers }))
+	if len(knowing) == 0 {
+		return
+	}
+	m := knowing[attempt%len(knowing)]
+	if err := w.copyFromHost(ctx, m); err != nil {
+		w.deps.Log.Info("removals not copied", "host", m.Host, "error", err)
 	}
 }
 
@@ -134,11 +142,19 @@
 func (w *Watcher) announceInEachEra(ctx context.Context) {
 	announced := w.announce(ctx)
 	for pause.For(ctx, ageCheckInterval) {
-		if !w.isBehindEra(announced) || w.awaitsAnswer() {
+		if !w.isBehindEra(announced) {
 			continue
 		}
 		pause.For(ctx, w.readAge()-minReadAge) // so that not all hosts write at once
-		if announced = w.announce(ctx); w.isBehindEra(announced) {
+		if w.awaitsAnswer() {
+			// Others read the store for this host, which must not write before the store answers in the era.
+			_, end, err := w.deps.Source.Read(ctx, fleet.Hosts, announced)
+			w.recordAnswer(end, err)
+		}
+		if !w.awaitsAnswer() {
+			announced = w.announce(ctx)
+		}
+		if w.isBehindEra(announced) {
 			pause.For(ctx, w.retryDelay(maxDelayFailures)) // the answer is out of date
 		}
 	}
--- a/sardinegate/watch/operators.go
+++ b/sardinegate/watch/operators.go
@@ -61,9 +61,9 @@
 	return true
 }
 
-// copyOperatorRecords takes over the operators' records of another host, which a read sent at asOf confirmed. If this host knew as much
-// before the store was restored, it judges the records of the store itself; once the grace of the era has ended, those of the other host
-// hold. w.mu must be held.
+// copyOperatorRecords takes over the operators' records of another host, which a read sent at asOf confirmed. If this host knew more
+// before the store was restored, or as much and the other one does not know what was removed, it judges the records of the store itself;
+// once the grace of the era has ended, those of the other host hold. w.mu must be held.
 func (w *Watcher) copyOperatorRecords(asOf time.Duration, s fleet.OperatorSnapshot) error {
 	own := w.operators.Progress
 	if own.Position.After(s.Progress.Position) {
@@ -74,7 +74,8 @@
 		known = own.Position
 	}
 	graceEnded := restored && s.GraceLeft == 0 && s.Progress.Previous != fleet.Position{}
-	if known.Era > 0 && !s.Progress.Previous.After(known) && !graceEnded {
+	knowsMore := known.After(s.Progress.Previous) || known == s.Progress.Previous && !s.Remembers
+	if known.Era > 0 && knowsMore && !graceEnded {
 		return w.replaceOperatorRecords(asOf, s.Progress.Position, s.Stored())
 	}
 	inForce, held := w.decodeOperatorRecords(s.InForce), w.decodeOperatorRecords(s.Held)
--- a/sardinegate/watch/peers.go
+++ b/sardinegate/watch/peers.go
@@ -108,6 +108,7 @@
 	w.mu.Lock()
 	now := w.now()
 	operators := w.operators.Snapshot(now)
+	operators.Remembers = w.remembers.Load()
 	snapshot := storeSnapshot{
 		OperatorsAge: now - w.operatorsAsOf,
 		List:         w.list.Snapshot(now),
@@ -157,6 +158,9 @@
 		snapshot.List.Age += w.now() - requestedAt
 		w.takeList(m.Host, snapshot.List)
 	}
+	if operators.Remembers && snapshot.Listed {
+		w.remembers.Store(true)
+	}
 	return w.takeOperatorRecords(m.Host, requestedAt-snapshot.OperatorsAge, operators)
 }
 
--- a/sardinegate/watch/restore_test.go
+++ b/sardinegate/watch/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -441,7 +442,7 @@
 
 // Guards against hosts that later ones do not find, because their addresses are missing from the copy.
 func TestHostsAnnounceThemselvesAgainAfterARestore(t *testing.T) {
-	const hosts = 4
+	const hosts = 12
 	synctest.Test(t, func(t *testing.T) {
 		s := newEraSource()
 		startSlowSite(t, s, hosts)
@@ -467,3 +468,77 @@
 		t.Errorf("%d hosts announced, error %v, want %d", len(records), err, n)
 	}
 }
+
+// Guards against a site that follows the copy because a host that started lately took what another such host remembers for all.
+func TestHostsThatStartTogetherBeforeARestore(t *testing.T) {
+	for _, old := range []int{1, 3} {
+		t.Run(fmt.Sprintf("%d older hosts", old), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const hosts = 8
+				s := newEraSource()
+				site := newSlowSite(s, hosts)
+				for i := hosts - old; i < hosts; i++ {
+					site.start(t, i)
+				}
+				time.Sleep(eraLearnTime + time.Second)
+				s.put(fleet.Operators, "passau", true)
+				time.Sleep(applyTime)
+				s.put(fleet.Operators, "passau", nil)
+				s.put(fleet.Upstreams, "a", nil)
+				time.Sleep(applyTime)
+				for i := range hosts - old {
+					site.start(t, i)
+				}
+				time.Sleep(2 * time.Second)
+				s.restore(fleet.Operators, 1)
+				s.locked(func() { s.records[fleet.Upstreams] = s.records[fleet.Upstreams][:2:2] })
+				site.assertDuring(t, 6*time.Second, "the changes stay in force", func(v *fleet.View) bool {
+					return !isOut("passau")(v) && usesOnly("b")(v)
+				})
+			})
+		})
+	}
+}
+
+// Guards against a host that holds back a record that another one has seen written after the restore.
+func TestCopyAfterAWriteInTheEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEraSource()
+		site := newSlowSite(s, 2)
+		a, b := site.hosts[0], site.hosts[1]
+		a.remembers.Store(true)
+		s.put(fleet.Operators, "passau", true)
+		site.readOperatorRecords(t)
+		s.put(fleet.Operators, "passau", nil)
+		site.readOperatorRecords(t)
+		s.restore(fleet.Operators, 1)
+		a.readOperatorRecords(t)
+		s.put(fleet.Operators, "passau", true)
+		if err := a.readChanges(t.Context(), a.operatorStream()); err != nil {
+			t.Fatal(err)
+		}
+		if err := b.copyFromHost(t.Context(), mesh.Member{Host: hostName(0)}); err != nil {
+			t.Fatal(err)
+		}
+		for _, h := range site.hosts {
+			if !isOut("passau")(h.View()) {
+				t.Errorf("not in force at %s", h.deps.Host)
+			}
+		}
+	})
+}
+
+// readOperatorRecords reads the newest operators' records at all hosts.
+func (s *slowSite) readOperatorRecords(t *testing.T) {
+	t.Helper()
+	for _, h := range s.hosts {
+		h.readOperatorRecords(t)
+	}
+}
+
+func (h *slowHost) readOperatorRecords(t *testing.T) {
+	t.Helper()
+	if err := h.readNewest(t.Context(), h.operatorStream()); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/sardinegate/watch/watch.go
+++ b/sardinegate/watch/watch.go
@@ -119,6 +119,9 @@
 	return w.operators.Progress, w.list.Progress
 }
 
+// Remembers reports whether this host knows what was removed lately.
+func (w *Watcher) Remembers() bool { return w.remembers.Load() }
+
 // Ages returns the times since the reads that confirmed the operators' records and the list of upstreams were sent.
 func (w *Watcher) Ages() (operators, list time.Duration) {
 	w.mu.Lock()
