fleet, watch, broker: Use one grace after a restore

Cause: three constants held the same 8 s, and the field era of knownEra was read as w.era.era. Change: fleet.RestoreGrace serves all three; the field is called number. Result: no change of behaviour; the tests of the three packages that concern restores pass.

--- a/lib/fleet/list.go
+++ b/lib/fleet/list.go
@@ -21,7 +21,7 @@
 	// from it if it has lapsed, if its record came after one with a later report, or if it is a removed one that came back with a
 	// copy of the store.
 	recorded map[string]Upstream
-	// removals holds the entries that were removed lately. Until restoreGrace after the store was restored, records that are not
+	// removals holds the entries that were removed lately. Until RestoreGrace after the store was restored, records that are not
 	// newer than these are not used.
 	removals removals
 	// digest is the exclusive or of the digests of all upstreams in recorded.
@@ -95,7 +95,7 @@
 func (l *List) beginEra(now time.Duration, reads Reads) {
 	l.Previous = l.Position
 	l.Reads = reads.withOutageUntil(reads.First)
-	l.removals.graceUntil = now + restoreGrace
+	l.removals.graceUntil = now + RestoreGrace
 }
 
 // applyChange applies one change. It ignores an entry that is older than the listed one, or than one that was removed before the
@@ -139,7 +139,7 @@
 }
 
 // Expire removes the entries that may have lapsed and were not listed again in time, or of which reads of other hosts have shown
-// that there was no outage. After restoreGrace it uses the records that removals kept from use. It reports whether there were any.
+// that there was no outage. After RestoreGrace it uses the records that removals kept from use. It reports whether there were any.
 func (l *List) Expire(now time.Duration) bool {
 	l.removals.forget(min(now, l.Reads.Last))
 	l.removals.extendGrace(now, l.Reads.Last)
--- a/lib/fleet/operator.go
+++ b/lib/fleet/operator.go
@@ -33,7 +33,7 @@
 }
 
 // OperatorRecords holds the operators' records in force. After the store was restored from a copy, the records that were in force
-// before prevail over those of the copy until their keys are written again or restoreGrace has passed. A record counts as one of the
+// before prevail over those of the copy until their keys are written again or RestoreGrace has passed. A record counts as one of the
 // copy if it was in force within removalMemory; any other was written since.
 type OperatorRecords struct {
 	// Progress holds the position in the store up to which the records are known.
@@ -82,7 +82,7 @@
 func (o *OperatorRecords) Replace(now time.Duration, to Position, newest []OperatorRecord) []OperatorRecord {
 	if to.RestoredSince(o.Position) {
 		o.Previous = o.Position
-		o.graceUntil = now + restoreGrace
+		o.graceUntil = now + RestoreGrace
 		o.hold(newest)
 	}
 	var changed []OperatorRecord
@@ -158,7 +158,7 @@
 func (o *OperatorRecords) Expire(now, lastRead time.Duration) []OperatorRecord {
 	o.forgetPast(min(now, lastRead))
 	if o.graceUntil > 0 && now-lastRead > OutageGap {
-		o.graceUntil = now + restoreGrace
+		o.graceUntil = now + RestoreGrace
 	}
 	if o.graceUntil == 0 || now < o.graceUntil {
 		return nil
@@ -260,7 +260,7 @@
 	}
 	o.graceUntil = 0
 	if graceLeft > 0 || len(o.held) > 0 {
-		o.graceUntil = now + min(graceLeft, restoreGrace)
+		o.graceUntil = now + min(graceLeft, RestoreGrace)
 	}
 	o.Progress = progress
 	return changed
--- a/lib/fleet/removals.go
+++ b/lib/fleet/removals.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// restoreGrace is the time after the store was restored from a copy in which what was known before prevails over records that
+	// RestoreGrace is the time after the store was restored from a copy in which what was known before prevails over records that
 	// were not written again. By its end the operators and the upstreams have written again what was lost, and entries of upstreams
 	// that are gone have lapsed.
-	restoreGrace = 8 * time.Second
+	RestoreGrace = 8 * time.Second
 	// removalMemory is how long removed entries and past records are remembered, up to the last read of the store. A copy from which it
 	// is restored is some seconds older than that.
 	removalMemory = 30 * time.Second
@@ -62,7 +62,7 @@
 // do they lapse. lastRead is when the last read was sent.
 func (r *removals) extendGrace(now, lastRead time.Duration) {
 	if r.graceUntil > 0 && now-lastRead > OutageGap {
-		r.graceUntil = now + restoreGrace
+		r.graceUntil = now + RestoreGrace
 	}
 }
 
@@ -105,7 +105,7 @@
 // merge adds the removed entries that another host knows, and the time that is left of its grace.
 func (r *removals) merge(now time.Duration, removed []RemovedEntry, graceLeft time.Duration) {
 	if graceLeft > 0 {
-		r.graceUntil = max(r.graceUntil, now+min(graceLeft, restoreGrace))
+		r.graceUntil = max(r.graceUntil, now+min(graceLeft, RestoreGrace))
 	}
 	for _, e := range removed {
 		old, ok := r.byID[e.Upstream.ID]
--- a/lib/fleet/restore_test.go
+++ b/lib/fleet/restore_test.go
@@ -31,7 +31,7 @@
 	o.Replace(2*time.Second, At(2, 10), []OperatorRecord{operatorRecord("k", "old")})
 	assertInForce(t, o, "k", "new")
 	o.Apply(3*time.Second, At(2, 11), []OperatorRecord{{Record: Record{Key: "k", Value: []byte("?")}, Unusable: true}})
-	o.Expire(2*time.Second+restoreGrace, 2*time.Second+restoreGrace)
+	o.Expire(2*time.Second+RestoreGrace, 2*time.Second+RestoreGrace)
 	assertInForce(t, o, "k", "new")
 }
 
@@ -58,7 +58,7 @@
 			if _, ok := l.Get("u"); ok != c.atOnce {
 				t.Errorf("used at once: %t, want %t", ok, c.atOnce)
 			}
-			for now := restored; now < restored+2*restoreGrace; now += time.Second {
+			for now := restored; now < restored+2*RestoreGrace; now += time.Second {
 				l.Apply(now, ReadAt(now), At(2, 9), At(2, 9), nil)
 				l.Expire(now)
 			}
@@ -74,7 +74,7 @@
 	a := newRecords(operatorRecord("k", "old"))
 	a.Apply(time.Second, At(1, 11), []OperatorRecord{operatorRecord("k", "new")})
 	a.Replace(2*time.Second, At(2, 10), []OperatorRecord{operatorRecord("k", "old")})
-	now := 2*time.Second + restoreGrace
+	now := 2*time.Second + RestoreGrace
 	s := a.Snapshot(now)
 	b := newRecords()
 	b.Adopt(now, s.Progress, s.GraceLeft, []OperatorRecord{operatorRecord("k", "new")}, []OperatorRecord{operatorRecord("k", "old")})
--- a/sardinegate/broker/rollout.go
+++ b/sardinegate/broker/rollout.go
@@ -38,7 +38,7 @@
 	evidenceInterval = time.Second
 	// finalAnswerTime is the time after a restore of the store in which hosts answer an owner that does not know of the final stage. By
 	// its end the owners of before have written it again.
-	finalAnswerTime = 8 * time.Second
+	finalAnswerTime = fleet.RestoreGrace
 	// finalTells is the number of times that a final state in the store is told. A message may be lost.
 	finalTells = 5
 )
--- a/sardinegate/watch/era.go
+++ b/sardinegate/watch/era.go
@@ -17,12 +17,12 @@
 	eraCopyTime = 300 * time.Millisecond
 	// eraLearnTime is the time after its start, and after the start of an era, in which a host copies from hosts that know more of
 	// an earlier era.
-	eraLearnTime = 8 * time.Second
+	eraLearnTime = fleet.RestoreGrace
 )
 
 // knownEra is the latest era of the store that a host knows of.
 type knownEra struct {
-	era int64
+	number int64
 	// since is when this host got to know of the era.
 	since time.Duration
 	// fromHost is set if another host reported the era first, answered once the store itself has answered in it.
@@ -47,14 +47,14 @@
 
 // recordEra records that the store is in an era, as a host has reported, or an answer of the store if host is empty. w.mu must be held.
 func (w *Watcher) recordEra(era int64, host string) {
-	if era == w.era.era && host == "" {
+	if era == w.era.number && host == "" {
 		w.era.answered = true
 	}
-	if era <= w.era.era {
+	if era <= w.era.number {
 		return
 	}
-	known := w.era.era
-	w.era = knownEra{era: era, since: w.now(), fromHost: host != "", answered: host == ""}
+	known := w.era.number
+	w.era = knownEra{number: era, since: w.now(), fromHost: host != "", answered: host == ""}
 	if known == 0 {
 		return
 	}
@@ -80,7 +80,7 @@
 func (w *Watcher) isBehindEra(p fleet.Position) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return p.Era < w.era.era
+	return p.Era < w.era.number
 }
 
 // awaitsCopy reports whether this host still waits for a copy of the first records of an era, so that not all hosts read them from the
@@ -90,7 +90,7 @@
 	w.mu.Lock()
 	era, since := w.era, w.now()-w.era.since
 	w.mu.Unlock()
-	if p.Era == 0 || p.Era >= era.era {
+	if p.Era == 0 || p.Era >= era.number {
 		return false
 	}
 	if wait := eraCopyTime + w.readAge() - minReadAge; since >= wait {
@@ -103,7 +103,7 @@
 func (w *Watcher) copiesEarlierEra() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.era.era > 0 && w.now()-w.era.since < eraLearnTime
+	return w.era.number > 0 && w.now()-w.era.since < eraLearnTime
 }
 
 // awaitsAnswer reports whether the store has not yet answered this host in the era that other hosts have reported.
@@ -117,7 +117,7 @@
 // call. After eraLearnTime this host remembers enough itself.
 func (w *Watcher) copyMemory(ctx context.Context, attempt int) {
 	w.mu.Lock()
-	era, since := w.era.era, w.now()-w.era.since
+	era, since := w.era.number, w.now()-w.era.since
 	w.mu.Unlock()
 	if era == 0 || w.remembers.Load() || !w.copying.TryLock() {
 		return
