watch: Spread the announcements after a restore by the number of hosts

Cause: all hosts announced themselves within 0.8 s of a new era; by reading, 472 hosts would write more than the 400 records a second that the store takes. Change: each further host in the order of readers announces itself 20 ms later. Result: the tests of watch pass; not played with hundreds of processes.

--- a/sardinegate/watch/era.go
+++ b/sardinegate/watch/era.go
@@ -18,6 +18,8 @@
 	// eraLearnTime is the time after its start, and after the start of an era, in which a host copies from hosts that know more of
 	// an earlier era.
 	eraLearnTime = fleet.RestoreGrace
+	// announceStep is how much later each further host in the order of readers announces itself in a new era. The store takes few writes.
+	announceStep = 20 * time.Millisecond
 )
 
 // knownEra is the latest era of the store that a host knows of.
@@ -145,7 +147,7 @@
 		if !w.isBehindEra(announced) {
 			continue
 		}
-		pause.For(ctx, w.readAge()-minReadAge) // so that not all hosts write at once
+		pause.For(ctx, time.Duration(w.rank())*announceStep)
 		if w.awaitsAnswer() {
 			// Others read the store for this host, which must not write before the store answers in the era.
 			_, end, err := w.deps.Source.Read(ctx, fleet.Hosts, announced)
--- a/sardinegate/watch/follow.go
+++ b/sardinegate/watch/follow.go
@@ -132,8 +132,12 @@
 
 // retryDelay returns the pause after the given number of failed calls in a row.
 func (w *Watcher) retryDelay(failures int) time.Duration {
-	rank := slices.Index(w.deps.Node.RankHosts(readTask, false), w.deps.Host)
-	return min(minRetryDelay<<min(failures-1, maxDelayFailures), maxRetryDelay) + time.Duration(max(rank, 0))*retryRankStep
+	return min(minRetryDelay<<min(failures-1, maxDelayFailures), maxRetryDelay) + time.Duration(w.rank())*retryRankStep
+}
+
+// rank returns the place of this host in the order of readers, from 0 on.
+func (w *Watcher) rank() int {
+	return max(slices.Index(w.deps.Node.RankHosts(readTask, false), w.deps.Host), 0)
 }
 
 // join copies the view from other hosts until it is complete, because the store may be unreachable when this host
