--- a/sardinegate/broker/rollout.go
+++ b/sardinegate/broker/rollout.go
@@ -335,9 +335,9 @@
 func (b *Broker) writeStatus(ctx context.Context, r *rollout) {
 	service := r.Order.Service
 	b.mu.Lock()
-	known := r.position
+	known, wanted := r.position, r.wanted()
 	record, at := r.record, known
-	read := known == unknownPosition || r.stored == r.wanted()
+	read := known == unknownPosition || r.stored == wanted
 	b.mu.Unlock()
 	if read {
 		ctx, cancel := context.WithTimeout(ctx, statusTimeout)
@@ -345,7 +345,7 @@
 		var err error
 		if record, at, err = b.deps.Statuses.ReadStatus(ctx, service); err != nil {
 			b.forgetPosition(r, known)
-			b.logStatusError(r, "read", err)
+			b.logStatusError(r, "read", wanted, err)
 			return
 		}
 	}
@@ -378,7 +378,7 @@
 	err := b.deps.Statuses.WriteStatus(ctx, service, at, status)
 	if err != nil {
 		b.forgetPosition(r, at)
-		b.logStatusError(r, "write", err)
+		b.logStatusError(r, "write", want, err)
 		return
 	}
 	b.mu.Lock()
@@ -416,8 +416,9 @@
 }
 
 // logStatusError logs that a state could not be read or written. A conflict means that another owner has written.
-func (b *Broker) logStatusError(r *rollout, call string, err error) {
+func (b *Broker) logStatusError(r *rollout, call string, wanted fleet.RolloutState, err error) {
 	var conflict *fleet.ConflictError
 	b.StatusFailures.Add(1)
-	b.deps.Log.Warn("rollout state not stored", "service", r.Order.Service, "call", call, "conflict", errors.As(err, &conflict), "error", err)
+	b.deps.Log.Warn("rollout state not stored", "service", r.Order.Service, "call", call, "wanted", wanted.String(),
+		"conflict", errors.As(err, &conflict), "error", err)
 }
